--- /dev/null
+++ b/internal/raft/node.go
@@ -0,0 +1,429 @@
+// Package raft provides the deterministic core of the replicated log that
+// the control members share: leader election, replication, snapshots and
+// membership changes of one member at a time.
+//
+// Source: D. Ongaro, J. Ousterhout, "In Search of an Understandable Consensus
+// Algorithm", 2014, and D. Ongaro, "Consensus: Bridging Theory and Practice",
+// 2014 (sections 4.1 membership, 6.4 reads, 9.6 pre-vote). The core does no
+// input or output; the caller persists what Ready returns before it sends the
+// messages that come with it.
+package raft
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/steperror"
+)
+
+// Role is the role of a member in its term.
+type Role uint8
+
+// The roles of a member.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role in lower case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Mechanisms switches off single mechanisms, so that a test can show that a
+// rule rests on them. All false is the product.
+type Mechanisms struct {
+	// NoPreVote lets a member raise its term without asking first.
+	NoPreVote bool
+	// NoCheckQuorum lets a leader go on without hearing from a quorum.
+	NoCheckQuorum bool
+	// NoStickiness lets a member vote while it hears from a leader.
+	NoStickiness bool
+	// NoIdentity listens to a member that lost its disk.
+	NoIdentity bool
+	// NoTermCommit counts replicas of entries of earlier terms (Raft paper, figure 8).
+	NoTermCommit bool
+}
+
+// Settings are the fixed settings of a member.
+type Settings struct {
+	ID MemberID
+	// Identity is the random number drawn when the data folder was made.
+	Identity uint64
+	// ElectionTimeout is the shortest time without a leader before an
+	// election; the time used is drawn between one and two of it.
+	ElectionTimeout time.Duration
+	// Heartbeat is the time between two appends of an idle leader.
+	Heartbeat time.Duration
+	// MaxAppend is the largest number of entries in one message.
+	MaxAppend int
+	// ChunkSize is the size of a snapshot chunk in bytes.
+	ChunkSize  int
+	Random     *rand.Rand
+	Mechanisms Mechanisms
+}
+
+// driftDivisor gives the share of the election timeout that is kept back
+// from the read lease against clocks that run apart: one tenth.
+const driftDivisor = 10
+
+// Restored is what a member finds on its disk.
+type Restored struct {
+	HardState HardState
+	Snapshot  Snapshot
+	Entries   []Entry
+	// Pins are the identities of the other members' data folders.
+	Pins map[MemberID]uint64
+}
+
+// Ready is work for the caller, in this order: persist Snapshot, Entries,
+// HardState and Pins and sync; call Advance; send Messages; restore Snapshot
+// into the state machine; apply Committed.
+type Ready struct {
+	HardState        HardState
+	HardStateChanged bool
+	Snapshot         *Snapshot
+	Entries          []Entry
+	Pins             map[MemberID]uint64
+	Messages         []Message
+	Committed        []Entry
+}
+
+// progress is what a leader knows of another member.
+type progress struct {
+	match uint64
+	next  uint64
+	// acked is the newest SentAt that the member has echoed.
+	acked kernel.Instant
+	// lastSent is when the leader last sent anything.
+	lastSent       kernel.Instant
+	snapshotIndex  uint64
+	snapshotOffset uint64
+}
+
+// Node is one member. It is not safe for concurrent use.
+type Node struct {
+	settings Settings
+	log      entryLog
+	hard     HardState
+	pins     map[MemberID]uint64
+
+	role          Role
+	leader        MemberID
+	commit        uint64
+	applied       uint64
+	persisted     uint64
+	membership    Membership
+	membershipIdx uint64
+
+	startedAt     kernel.Instant
+	leaderContact kernel.Instant
+	heardLeader   bool
+	electionAt    kernel.Instant
+	electedAt     kernel.Instant
+	electedIndex  uint64
+	votes         map[MemberID]bool
+	peers         map[MemberID]*progress
+	incoming      incomingSnapshot
+
+	hardChanged bool
+	pinsChanged bool
+	unsavedFrom uint64
+	newSnapshot *Snapshot
+	outbox      []Message
+	ignored     uint64
+}
+
+// NewNode returns a member that starts from what its disk held.
+func NewNode(now kernel.Instant, settings Settings, restored Restored) *Node {
+	node := &Node{
+		settings:  settings,
+		hard:      restored.HardState,
+		pins:      map[MemberID]uint64{},
+		startedAt: now,
+	}
+	for member, identity := range restored.Pins {
+		node.pins[member] = identity
+	}
+	node.log.snapshot = restored.Snapshot
+	node.log.entries = append(node.log.entries, restored.Entries...)
+	node.commit = restored.Snapshot.Index
+	node.applied = restored.Snapshot.Index
+	node.persisted = node.log.lastIndex()
+	node.reloadMembership()
+	node.resetElectionTimer(now)
+	return node
+}
+
+func (n *Node) reloadMembership() {
+	n.membership, n.membershipIdx = n.log.membership()
+}
+
+// Role returns the role in the current term.
+func (n *Node) Role() Role { return n.role }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hard.Term }
+
+// Leader returns the leader of the current term as far as it is known.
+func (n *Node) Leader() MemberID { return n.leader }
+
+// Commit returns the index of the last committed entry.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// LastIndex returns the index of the last entry in the log.
+func (n *Node) LastIndex() uint64 { return n.log.lastIndex() }
+
+// Membership returns the newest membership in the log.
+func (n *Node) Membership() Membership { return n.membership }
+
+// Ignored returns the number of messages dropped because their sender's data
+// folder is not the one it had before.
+func (n *Node) Ignored() uint64 { return n.ignored }
+
+// Match returns the last index known to be on the member's disk; only a
+// leader knows it.
+func (n *Node) Match(id MemberID) uint64 {
+	if id == n.settings.ID {
+		return n.persisted
+	}
+	if peer, ok := n.peers[id]; ok {
+		return peer.match
+	}
+	return 0
+}
+
+// HasLease reports whether a leader can answer a linearizable read, or grant
+// a lease, without asking: a quorum has heard from it so recently that no
+// other leader can exist, and an entry of its term is committed.
+func (n *Node) HasLease(now kernel.Instant) bool {
+	if n.role != Leader || n.commit < n.electedIndex {
+		return false
+	}
+	margin := n.settings.ElectionTimeout / driftDivisor
+	return now.Before(n.quorumContact(now).Add(n.settings.ElectionTimeout - margin))
+}
+
+// ElectedAt returns when this member last became leader.
+func (n *Node) ElectedAt() kernel.Instant { return n.electedAt }
+
+// Step handles a message from another member.
+func (n *Node) Step(now kernel.Instant, message Message) {
+	if !n.checkIdentity(message) {
+		n.ignored++
+		return
+	}
+	if message.Term > n.hard.Term && n.raisesTerm(now, message) {
+		n.becomeFollower(now, message.Term, NoMember)
+	}
+	switch message.Kind {
+	case MessagePreVote:
+		n.handlePreVote(now, message)
+	case MessagePreVoteReply, MessageVoteReply:
+		n.handleVoteReply(now, message)
+	case MessageVote:
+		n.handleVote(now, message)
+	case MessageAppend:
+		n.handleAppend(now, message)
+	case MessageAppendReply:
+		n.handleAppendReply(now, message)
+	case MessageSnapshot:
+		n.handleSnapshot(now, message)
+	case MessageSnapshotReply:
+		n.handleSnapshotReply(now, message)
+	}
+}
+
+// checkIdentity pins the identity of a member's data folder at the first
+// message and refuses every other one afterwards: a member that lost its disk
+// has forgotten its votes and must come back under a new ID.
+func (n *Node) checkIdentity(message Message) bool {
+	if n.settings.Mechanisms.NoIdentity {
+		return true
+	}
+	pinned, known := n.pins[message.From]
+	if known {
+		return pinned == message.Identity
+	}
+	n.pins[message.From] = message.Identity
+	n.pinsChanged = true
+	return true
+}
+
+// raisesTerm reports whether the message's higher term is to be adopted.
+// Requests of pre-vote never are, and requests for a vote only when this
+// member would consider them at all.
+func (n *Node) raisesTerm(now kernel.Instant, message Message) bool {
+	switch message.Kind {
+	case MessagePreVote:
+		return false
+	case MessagePreVoteReply:
+		return message.Reject
+	case MessageVote:
+		return !n.bound(now)
+	}
+	return true
+}
+
+// Tick lets time pass: elections, heartbeats and the check of the quorum.
+func (n *Node) Tick(now kernel.Instant) {
+	if n.role == Leader {
+		n.tickLeader(now)
+		return
+	}
+	if now.Before(n.electionAt) {
+		return
+	}
+	n.resetElectionTimer(now)
+	if n.membership.IsVoter(n.settings.ID) {
+		n.startElection(now)
+	}
+}
+
+func (n *Node) tickLeader(now kernel.Instant) {
+	silence := now.Sub(n.quorumContact(now))
+	if silence > 2*n.settings.ElectionTimeout && !n.settings.Mechanisms.NoCheckQuorum {
+		n.becomeFollower(now, n.hard.Term, NoMember)
+		return
+	}
+	for _, id := range n.others() {
+		if now.Sub(n.peer(id).lastSent) >= n.settings.Heartbeat {
+			n.sendAppend(now, id, true)
+		}
+	}
+}
+
+// others returns all members but this one.
+func (n *Node) others() []MemberID {
+	all := append(append([]MemberID{}, n.membership.Voters...), n.membership.Learners...)
+	return without(all, n.settings.ID)
+}
+
+// Propose appends a command to the log. It fails on a member that does not lead.
+func (n *Node) Propose(now kernel.Instant, data []byte) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, steperror.New("raft.propose", "", "this member is not the leader")
+	}
+	entry := n.appendOwn(now, EntryCommand, data)
+	return entry.Index, entry.Term, nil
+}
+
+// ProposeMembership appends a new membership that differs by one member. The
+// change before it and an entry of this term must be committed (Raft thesis,
+// section 4.1, and the correction of 2015).
+func (n *Node) ProposeMembership(now kernel.Instant, next Membership) (index, term uint64, err error) {
+	const step = "raft.propose_membership"
+	if n.role != Leader {
+		return 0, 0, steperror.New(step, "", "this member is not the leader")
+	}
+	if n.commit < n.membershipIdx || n.commit < n.electedIndex {
+		return 0, 0, steperror.New(step, "", "the change before is not committed yet")
+	}
+	if len(next.Voters) == 0 {
+		return 0, 0, steperror.New(step, "", "the last voter cannot be removed")
+	}
+	for _, id := range next.Voters {
+		if !n.membership.IsVoter(id) && n.Match(id) < n.commit {
+			return 0, 0, steperror.New(step, "", "the learner has not caught up")
+		}
+	}
+	entry := n.appendOwn(now, EntryMembership, EncodeMembership(next))
+	n.reloadMembership()
+	return entry.Index, entry.Term, nil
+}
+
+func (n *Node) appendOwn(now kernel.Instant, kind EntryKind, data []byte) Entry {
+	entry := Entry{Term: n.hard.Term, Index: n.log.lastIndex() + 1, Kind: kind, Data: data}
+	n.log.append(entry)
+	n.markUnsaved(entry.Index)
+	for _, id := range n.others() {
+		n.sendAppend(now, id, false)
+	}
+	return entry
+}
+
+func (n *Node) markUnsaved(index uint64) {
+	if n.unsavedFrom == 0 || index < n.unsavedFrom {
+		n.unsavedFrom = index
+	}
+	if n.persisted >= index {
+		n.persisted = index - 1
+	}
+}
+
+// HasReady reports whether Ready would return work.
+func (n *Node) HasReady() bool {
+	return n.hardChanged || n.pinsChanged || n.unsavedFrom != 0 || n.newSnapshot != nil ||
+		len(n.outbox) > 0 || n.applied < n.commit
+}
+
+// Ready returns the work that has come up since the last call.
+func (n *Node) Ready() Ready {
+	ready := Ready{
+		HardState:        n.hard,
+		HardStateChanged: n.hardChanged,
+		Snapshot:         n.newSnapshot,
+		Messages:         n.outbox,
+	}
+	if n.pinsChanged {
+		ready.Pins = n.pins
+	}
+	if n.unsavedFrom != 0 {
+		ready.Entries = append(ready.Entries, n.log.slice(n.unsavedFrom, n.log.lastIndex())...)
+	}
+	if n.applied < n.commit {
+		ready.Committed = append(ready.Committed, n.log.slice(n.applied+1, n.commit)...)
+		n.applied = n.commit
+	}
+	n.hardChanged = false
+	n.pinsChanged = false
+	n.unsavedFrom = 0
+	n.newSnapshot = nil
+	n.outbox = nil
+	return ready
+}
+
+// Advance tells the node that all that the last Ready held is on the disk.
+func (n *Node) Advance(now kernel.Instant) {
+	if n.unsavedFrom == 0 {
+		n.persisted = n.log.lastIndex()
+	} else {
+		n.persisted = n.unsavedFrom - 1
+	}
+	if n.role == Leader {
+		n.advanceCommit(now)
+	}
+}
+
+// Compact tells the node that the state machine was saved at index.
+func (n *Node) Compact(index uint64, data []byte) Snapshot {
+	term, _ := n.log.term(index)
+	snapshot := Snapshot{
+		Index:      index,
+		Term:       term,
+		Membership: n.log.membershipAt(index),
+		Data:       data,
+	}
+	n.log.compact(snapshot)
+	return snapshot
+}
+
+// Entries returns the entries after the last snapshot.
+func (n *Node) Entries() []Entry { return n.log.entries }
+
+// Restored returns all that the disk must hold, for a rewrite of the log.
+func (n *Node) Restored() Restored {
+	return Restored{HardState: n.hard, Snapshot: n.log.snapshot, Entries: n.log.entries, Pins: n.pins}
+}
+
+func (n *Node) send(message Message) {
+	message.From = n.settings.ID
+	message.Identity = n.settings.Identity
+	if message.Term == 0 {
+		message.Term = n.hard.Term
+	}
+	n.outbox = append(n.outbox, message)
+}
--- /dev/null
+++ b/internal/raft/replication.go
@@ -0,0 +1,174 @@
+package raft
+
+import (
+	"sort"
+
+	"github.com/beamdoor/beamdoor/internal/kernel"
+)
+
+// peer returns what the leader knows of a member, and starts the record.
+func (n *Node) peer(id MemberID) *progress {
+	if n.peers == nil {
+		n.peers = map[MemberID]*progress{}
+	}
+	peer, known := n.peers[id]
+	if !known {
+		peer = &progress{next: n.log.lastIndex() + 1, acked: n.electedAt}
+		n.peers[id] = peer
+	}
+	return peer
+}
+
+// sendAppend sends the entries that the member lacks, a snapshot chunk if the
+// log no longer holds them, or an empty append as a heartbeat.
+func (n *Node) sendAppend(now kernel.Instant, id MemberID, heartbeat bool) {
+	peer := n.peer(id)
+	previous := peer.next - 1
+	term, held := n.log.term(previous)
+	if !held {
+		n.sendSnapshot(now, id, peer, heartbeat)
+		return
+	}
+	last := min(n.log.lastIndex(), previous+uint64(n.settings.MaxAppend))
+	entries := n.log.slice(peer.next, last)
+	if len(entries) == 0 && !heartbeat {
+		return
+	}
+	peer.lastSent = now
+	peer.next += uint64(len(entries))
+	n.send(Message{
+		Kind:     MessageAppend,
+		To:       id,
+		LogIndex: previous,
+		LogTerm:  term,
+		Commit:   n.commit,
+		Entries:  append([]Entry(nil), entries...),
+		SentAt:   now,
+	})
+}
+
+func (n *Node) handleAppend(now kernel.Instant, message Message) {
+	if !n.acceptLeader(now, message) {
+		return
+	}
+	reply := Message{Kind: MessageAppendReply, To: message.From, SentAt: message.SentAt}
+	previousTerm, held := n.log.term(message.LogIndex)
+	if message.LogIndex < n.log.snapshot.Index {
+		reply.LogIndex = n.commit
+		n.send(reply)
+		return
+	}
+	if !held || previousTerm != message.LogTerm {
+		reply.Reject = true
+		reply.LogIndex = n.rejectHint(message.LogIndex)
+		n.send(reply)
+		return
+	}
+	n.storeEntries(message.Entries)
+	match := message.LogIndex + uint64(len(message.Entries))
+	n.commit = max(n.commit, min(message.Commit, match))
+	reply.LogIndex = match
+	n.send(reply)
+}
+
+// rejectHint returns the index from which the leader should try again: the
+// end of the log, or the entry before the term that does not agree.
+func (n *Node) rejectHint(index uint64) uint64 {
+	if index > n.log.lastIndex() {
+		return n.log.lastIndex()
+	}
+	conflicting, held := n.log.term(index)
+	for held && index > n.commit {
+		term, ok := n.log.term(index)
+		if !ok || term != conflicting {
+			break
+		}
+		index--
+	}
+	return index
+}
+
+// acceptLeader reports whether the sender leads the current term, and tells
+// an old leader of the newer one.
+func (n *Node) acceptLeader(now kernel.Instant, message Message) bool {
+	if message.Term < n.hard.Term {
+		n.send(Message{Kind: MessageAppendReply, To: message.From, Reject: true, LogIndex: n.commit})
+		return false
+	}
+	n.becomeFollower(now, message.Term, message.From)
+	n.leaderContact = now
+	n.heardLeader = true
+	return true
+}
+
+func (n *Node) storeEntries(entries []Entry) {
+	for position, entry := range entries {
+		term, held := n.log.term(entry.Index)
+		if held && term == entry.Term {
+			continue
+		}
+		if entry.Index <= n.commit {
+			continue
+		}
+		if held {
+			n.log.truncate(entry.Index)
+		}
+		rest := entries[position:]
+		n.log.append(rest...)
+		n.markUnsaved(entry.Index)
+		n.reloadMembership()
+		return
+	}
+}
+
+func (n *Node) handleAppendReply(now kernel.Instant, message Message) {
+	if n.role != Leader || message.Term != n.hard.Term {
+		return
+	}
+	peer := n.peer(message.From)
+	if message.SentAt > peer.acked {
+		peer.acked = message.SentAt
+	}
+	if message.Reject {
+		if message.LogIndex+1 < peer.next && message.LogIndex >= peer.match {
+			peer.next = message.LogIndex + 1
+		}
+		n.sendAppend(now, message.From, true)
+		return
+	}
+	if message.LogIndex > peer.match {
+		peer.match = message.LogIndex
+		peer.next = max(peer.next, peer.match+1)
+		n.advanceCommit(now)
+	}
+	if peer.next <= n.log.lastIndex() {
+		n.sendAppend(now, message.From, false)
+	}
+}
+
+// advanceCommit commits the newest entry of this term that a quorum of voters
+// has on disk (Raft paper, section 5.4.2).
+func (n *Node) advanceCommit(now kernel.Instant) {
+	var matches []uint64
+	for _, id := range n.membership.Voters {
+		matches = append(matches, n.Match(id))
+	}
+	if len(matches) == 0 {
+		return
+	}
+	sort.Slice(matches, func(a, b int) bool { return matches[a] > matches[b] })
+	index := matches[n.membership.Quorum()-1]
+	term, held := n.log.term(index)
+	ownTerm := held && (term == n.hard.Term || n.settings.Mechanisms.NoTermCommit)
+	if index <= n.commit || !ownTerm {
+		return
+	}
+	n.commit = index
+	if n.commit >= n.membershipIdx && !n.membership.IsVoter(n.settings.ID) {
+		n.becomeFollower(now, n.hard.Term, NoMember)
+		return
+	}
+	for _, id := range n.others() {
+		n.sendAppend(now, id, true)
+	}
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,129 @@
+// Package ring provides the bounded queue that joins the goroutines of a
+// process. Each goroutine has one duty and reads one ring.
+package ring
+
+import "sync"
+
+// Ring is a bounded first-in first-out queue, safe for many producers and
+// consumers. The zero value is not usable; call New.
+type Ring[T any] struct {
+	mutex    sync.Mutex
+	notEmpty sync.Cond
+	notFull  sync.Cond
+	items    []T
+	head     int
+	count    int
+	closed   bool
+	dropped  uint64
+}
+
+// New returns a ring that holds at most capacity items.
+func New[T any](capacity int) *Ring[T] {
+	if capacity < 1 {
+		capacity = 1
+	}
+	r := &Ring[T]{items: make([]T, capacity)}
+	r.notEmpty.L = &r.mutex
+	r.notFull.L = &r.mutex
+	return r
+}
+
+// TryPush appends an item, or counts it as dropped and returns false when
+// the ring is full or closed.
+func (r *Ring[T]) TryPush(item T) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.closed || r.count == len(r.items) {
+		r.dropped++
+		return false
+	}
+	r.append(item)
+	return true
+}
+
+// Push appends an item and waits for room. It returns false once the ring
+// is closed.
+func (r *Ring[T]) Push(item T) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for r.count == len(r.items) && !r.closed {
+		r.notFull.Wait()
+	}
+	if r.closed {
+		r.dropped++
+		return false
+	}
+	r.append(item)
+	return true
+}
+
+func (r *Ring[T]) append(item T) {
+	r.items[(r.head+r.count)%len(r.items)] = item
+	r.count++
+	r.notEmpty.Signal()
+}
+
+// Pop removes the oldest item and waits for one. It returns false when the
+// ring is closed and empty.
+func (r *Ring[T]) Pop() (T, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for r.count == 0 && !r.closed {
+		r.notEmpty.Wait()
+	}
+	var zero T
+	if r.count == 0 {
+		return zero, false
+	}
+	item := r.items[r.head]
+	r.items[r.head] = zero
+	r.head = (r.head + 1) % len(r.items)
+	r.count--
+	r.notFull.Signal()
+	return item, true
+}
+
+// PopBatch appends up to limit items to batch. It waits for the first item
+// only, and returns false when the ring is closed and empty.
+func (r *Ring[T]) PopBatch(batch []T, limit int) ([]T, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for r.count == 0 && !r.closed {
+		r.notEmpty.Wait()
+	}
+	if r.count == 0 {
+		return batch, false
+	}
+	var zero T
+	for taken := 0; taken < limit && r.count > 0; taken++ {
+		batch = append(batch, r.items[r.head])
+		r.items[r.head] = zero
+		r.head = (r.head + 1) % len(r.items)
+		r.count--
+	}
+	r.notFull.Broadcast()
+	return batch, true
+}
+
+// Close wakes all waiting goroutines; items already queued can still be popped.
+func (r *Ring[T]) Close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.closed = true
+	r.notEmpty.Broadcast()
+	r.notFull.Broadcast()
+}
+
+// Len returns the number of queued items.
+func (r *Ring[T]) Len() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.count
+}
+
+// Dropped returns the number of items that found no room.
+func (r *Ring[T]) Dropped() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.dropped
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,256 @@
+// Package wal provides the durable state of a control member: a write-ahead
+// log in segments with a checksum on each record, snapshots, and the identity
+// of the data folder. What Save returned for survives a crash.
+package wal
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/beamdoor/beamdoor/internal/raft"
+	"github.com/beamdoor/beamdoor/internal/steperror"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+const (
+	segmentPrefix  = "wal-"
+	snapshotPrefix = "snapshot-"
+	temporaryName  = "snapshot.tmp"
+	identityName   = "identity"
+)
+
+// Log is the open durable state. After the first failed write or sync every
+// further Save fails: what the disk then holds is not known.
+type Log struct {
+	files    FileSystem
+	segment  File
+	sequence uint64
+	broken   error
+	// SkipSync leaves out the sync, for tests that show what rests on it.
+	SkipSync bool
+}
+
+func segmentName(sequence uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, sequence) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
+// Report tells what Open found and mended.
+type Report struct {
+	// TornBytes is the size of the incomplete record cut from the end.
+	TornBytes int
+	// Segments is the number of log segments read.
+	Segments int
+	// Records is the number of whole records read.
+	Records int
+}
+
+// Open reads the folder, cuts a torn tail and opens the log for appending.
+// Damage anywhere but at the very end is an error: acknowledged entries may
+// be gone, and the member must be replaced rather than guess.
+func Open(files FileSystem) (*Log, raft.Restored, Report, error) {
+	reader := &reader{files: files, restored: raft.Restored{Pins: map[raft.MemberID]uint64{}}}
+	if err := reader.read(); err != nil {
+		return nil, raft.Restored{}, reader.report, err
+	}
+	if reader.report.TornBytes > 0 {
+		if err := files.Truncate(reader.lastSegment, reader.validBytes); err != nil {
+			return nil, raft.Restored{}, reader.report, steperror.Wrap("wal.cut_tail", reader.lastSegment, err)
+		}
+	}
+	log := &Log{files: files, sequence: reader.sequence}
+	if err := log.openSegment(reader.lastSegment); err != nil {
+		return nil, raft.Restored{}, reader.report, err
+	}
+	return log, reader.restored, reader.report, nil
+}
+
+// Verify reads the folder without changing it.
+func Verify(files FileSystem) (raft.Restored, Report, error) {
+	reader := &reader{files: files, restored: raft.Restored{Pins: map[raft.MemberID]uint64{}}}
+	err := reader.read()
+	return reader.restored, reader.report, err
+}
+
+func (l *Log) openSegment(existing string) error {
+	if existing != "" {
+		file, err := l.files.OpenAppend(existing)
+		l.segment = file
+		return steperror.Wrap("wal.open_segment", existing, err)
+	}
+	l.sequence = 1
+	file, err := l.files.Create(segmentName(l.sequence))
+	if err != nil {
+		return steperror.Wrap("wal.create_segment", segmentName(l.sequence), err)
+	}
+	l.segment = file
+	return steperror.Wrap("wal.sync_folder", "", l.files.SyncFolder())
+}
+
+// Save writes what a Ready asks to be durable and returns after the sync.
+func (l *Log) Save(ready raft.Ready, whole raft.Restored) error {
+	if l.broken != nil {
+		return l.broken
+	}
+	if ready.Snapshot != nil {
+		return l.fail(l.Rewrite(whole))
+	}
+	var buffer []byte
+	for _, entry := range ready.Entries {
+		buffer = appendRecord(buffer, recordEntry, raft.EncodeEntry(entry))
+	}
+	if ready.HardStateChanged {
+		buffer = appendRecord(buffer, recordHardState, encodeHardState(ready.HardState))
+	}
+	if ready.Pins != nil {
+		buffer = appendRecord(buffer, recordPins, encodePins(ready.Pins))
+	}
+	if len(buffer) == 0 {
+		return nil
+	}
+	if _, err := l.segment.Write(buffer); err != nil {
+		return l.fail(steperror.Wrap("wal.append", "", err))
+	}
+	return l.fail(steperror.Wrap("wal.sync", "", l.sync(l.segment)))
+}
+
+func (l *Log) sync(file File) error {
+	if l.SkipSync {
+		return nil
+	}
+	return file.Sync()
+}
+
+func (l *Log) fail(err error) error {
+	if err != nil && l.broken == nil {
+		l.broken = err
+	}
+	return err
+}
+
+// Rewrite saves a snapshot with the entries after it and removes the segments
+// and snapshots before.
+func (l *Log) Rewrite(whole raft.Restored) error {
+	if err := l.writeSnapshot(whole.Snapshot); err != nil {
+		return l.fail(err)
+	}
+	if err := l.startSegment(whole); err != nil {
+		return l.fail(err)
+	}
+	return l.fail(l.removeOld(whole.Snapshot.Index))
+}
+
+func (l *Log) writeSnapshot(snapshot raft.Snapshot) error {
+	const step = "wal.write_snapshot"
+	file, err := l.files.Create(temporaryName)
+	if err != nil {
+		return steperror.Wrap(step, "", err)
+	}
+	if _, err := file.Write(appendRecord(nil, recordSnapshot, encodeSnapshot(snapshot))); err != nil {
+		return steperror.Wrap(step, "", err)
+	}
+	if err := l.sync(file); err != nil {
+		return steperror.Wrap(step, "", err)
+	}
+	if err := file.Close(); err != nil {
+		return steperror.Wrap(step, "", err)
+	}
+	if err := l.files.Rename(temporaryName, snapshotName(snapshot.Index)); err != nil {
+		return steperror.Wrap(step, "", err)
+	}
+	return steperror.Wrap(step, "", l.files.SyncFolder())
+}
+
+func (l *Log) startSegment(whole raft.Restored) error {
+	const step = "wal.start_segment"
+	name := segmentName(l.sequence + 1)
+	file, err := l.files.Create(name)
+	if err != nil {
+		return steperror.Wrap(step, name, err)
+	}
+	buffer := appendRecord(nil, recordHardState, encodeHardState(whole.HardState))
+	buffer = appendRecord(buffer, recordPins, encodePins(whole.Pins))
+	for _, entry := range whole.Entries {
+		buffer = appendRecord(buffer, recordEntry, raft.EncodeEntry(entry))
+	}
+	if _, err := file.Write(buffer); err != nil {
+		return steperror.Wrap(step, name, err)
+	}
+	if err := l.sync(file); err != nil {
+		return steperror.Wrap(step, name, err)
+	}
+	if err := l.files.SyncFolder(); err != nil {
+		return steperror.Wrap(step, name, err)
+	}
+	_ = l.segment.Close()
+	l.segment = file
+	l.sequence++
+	return nil
+}
+
+func (l *Log) removeOld(snapshotIndex uint64) error {
+	const step = "wal.remove_old"
+	names, err := l.files.List()
+	if err != nil {
+		return steperror.Wrap(step, "", err)
+	}
+	for _, name := range names {
+		oldSegment := strings.HasPrefix(name, segmentPrefix) && name < segmentName(l.sequence)
+		oldSnapshot := strings.HasPrefix(name, snapshotPrefix) && name < snapshotName(snapshotIndex)
+		if !oldSegment && !oldSnapshot {
+			continue
+		}
+		if err := l.files.Remove(name); err != nil {
+			return steperror.Wrap(step, name, err)
+		}
+	}
+	return steperror.Wrap(step, "", l.files.SyncFolder())
+}
+
+// Close releases the open segment.
+func (l *Log) Close() error { return l.segment.Close() }
+
+// LoadIdentity returns the random number of the data folder, and draws one
+// when the folder is new. The second result reports a new folder.
+func LoadIdentity(files FileSystem, draw func() uint64) (uint64, bool, error) {
+	const step = "wal.identity"
+	names, err := files.List()
+	if err != nil {
+		return 0, false, steperror.Wrap(step, "", err)
+	}
+	for _, name := range names {
+		if name != identityName {
+			continue
+		}
+		data, err := files.ReadFile(identityName)
+		if err != nil {
+			return 0, false, steperror.Wrap(step, "", err)
+		}
+		decoder := wire.NewDecoder(data)
+		identity := decoder.Uint64()
+		return identity, false, decoder.Err(step)
+	}
+	identity, err := writeIdentity(files, draw())
+	return identity, true, steperror.Wrap(step, "", err)
+}
+
+func writeIdentity(files FileSystem, identity uint64) (uint64, error) {
+	var encoder wire.Encoder
+	encoder.Uint64(identity)
+	file, err := files.Create(temporaryName)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := file.Write(encoder.Buffer); err != nil {
+		return 0, err
+	}
+	if err := file.Sync(); err != nil {
+		return 0, err
+	}
+	if err := file.Close(); err != nil {
+		return 0, err
+	}
+	if err := files.Rename(temporaryName, identityName); err != nil {
+		return 0, err
+	}
+	return identity, files.SyncFolder()
+}
