--- a/api/generate.sh
+++ b/api/generate.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")"
 protoc --go_out=. --go_opt=paths=source_relative \
   --connect-go_out=. --connect-go_opt=paths=source_relative \
-  beamdoor/v1/config.proto beamdoor/v1/admin.proto
+  beamdoor/v1/config.proto beamdoor/v1/admin.proto beamdoor/v1/target.proto
--- /dev/null
+++ b/internal/balancer/control.go
@@ -0,0 +1,129 @@
+package balancer
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/ring"
+	"github.com/beamdoor/beamdoor/internal/routing"
+	"github.com/beamdoor/beamdoor/internal/steperror"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+const (
+	controlQueue   = 64
+	controlTimeout = time.Second
+	controlBackoff = 250 * time.Millisecond
+	// controlSilence is the longest time without a frame from the control
+	// member before another one is tried.
+	controlSilence = 2500 * time.Millisecond
+)
+
+// controlLink is the connection to one control member at a time. It tries
+// the members in turn, starting with a different one in each process.
+type controlLink struct {
+	process *Process
+	queue   *ring.Ring[wire.Frame]
+	next    int
+}
+
+func newControlLink(process *Process) *controlLink {
+	link := &controlLink{process: process, queue: ring.New[wire.Frame](controlQueue)}
+	for _, letter := range process.settings.Name {
+		link.next += int(letter)
+	}
+	return link
+}
+
+func (l *controlLink) send(frame wire.Frame) { l.queue.TryPush(frame) }
+
+func (l *controlLink) close() { l.queue.Close() }
+
+// run keeps a connection open until the process stops.
+func (l *controlLink) run() {
+	for {
+		select {
+		case <-l.process.stopped:
+			return
+		default:
+		}
+		addresses := l.process.settings.Control
+		address := addresses[l.next%len(addresses)]
+		l.next++
+		connection, err := net.DialTimeout("tcp", address, controlTimeout)
+		if err != nil {
+			time.Sleep(controlBackoff)
+			continue
+		}
+		l.process.logger.Event(eventlog.ControlConnected, "peer", address)
+		err = l.serve(connection)
+		l.process.logger.Event(eventlog.ControlLost, "peer", address, "err", steperror.Wrap("balancer.control", address, err))
+	}
+}
+
+// serve writes reports while another goroutine reads the member's frames.
+func (l *controlLink) serve(connection net.Conn) error {
+	broken := make(chan error, 1)
+	go func() {
+		broken <- l.read(connection)
+		_ = connection.Close()
+	}()
+	for {
+		frame, open := l.queue.Pop()
+		if !open {
+			_ = connection.Close()
+			return <-broken
+		}
+		_ = connection.SetWriteDeadline(time.Now().Add(controlTimeout))
+		if _, err := connection.Write(wire.AppendFrame(nil, frame)); err != nil {
+			_ = connection.Close()
+			return <-broken
+		}
+		l.process.metrics.controlSent.Add(float64(wire.FrameSize(frame)))
+	}
+}
+
+func (l *controlLink) read(connection net.Conn) error {
+	reader := bufio.NewReader(connection)
+	for {
+		_ = connection.SetReadDeadline(time.Now().Add(controlSilence))
+		frame, err := wire.ReadFrame(reader)
+		if err != nil {
+			return err
+		}
+		l.process.metrics.controlReceived.Add(float64(wire.FrameSize(frame)))
+		l.process.inputs.Push(controlInput{frame: frame})
+	}
+}
+
+// controlInput is a frame of the control member.
+type controlInput struct{ frame wire.Frame }
+
+func (i controlInput) handle(p *Process, now kernel.Instant) []routing.Action {
+	decoder := wire.NewDecoder(i.frame.Payload)
+	switch i.frame.Kind {
+	case wire.FrameGrant:
+		grant := wire.DecodeGrant(decoder)
+		if decoder.Err("balancer.grant") == nil {
+			return p.router.HandleGrant(now, grant)
+		}
+	case wire.FrameSignals:
+		signals := wire.DecodeSignals(decoder)
+		if decoder.Err("balancer.signals") == nil {
+			return p.router.HandleSignals(now, signals)
+		}
+	case wire.FrameConfig:
+		config := &beamdoorv1.CellConfig{}
+		if err := proto.Unmarshal(i.frame.Payload, config); err == nil {
+			return p.router.HandleConfig(now, config)
+		}
+	}
+	p.logger.Event(eventlog.BadFrame, "kind", i.frame.Kind)
+	return nil
+}
--- /dev/null
+++ b/internal/cli/offline.go
@@ -0,0 +1,211 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/beamdoor/beamdoor/internal/config"
+	"github.com/beamdoor/beamdoor/internal/policy"
+	"github.com/beamdoor/beamdoor/internal/settings"
+	"github.com/beamdoor/beamdoor/internal/store"
+	"github.com/beamdoor/beamdoor/internal/wal"
+)
+
+// Kinds of files that check reads.
+const (
+	kindConfig   = "config"
+	kindControl  = "control"
+	kindBalancer = "balancer"
+	kindPolicy   = "policy"
+)
+
+func checkCommand() *cobra.Command {
+	kind := kindConfig
+	command := &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check configurations, settings and policy programs without starting anything",
+		Example: `  beamdoor check service.yaml
+  beamdoor check --kind balancer balancer-1.yaml
+  beamdoor check --kind policy night.star`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			var failures []error
+			for _, file := range files {
+				if err := checkFile(kind, file); err != nil {
+					failures = append(failures, err)
+					continue
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", file)
+			}
+			if len(failures) > 0 {
+				return &ExitError{Code: ExitUsage, Cause: errors.Join(failures...)}
+			}
+			return nil
+		},
+	}
+	command.Flags().StringVar(&kind, "kind", kindConfig, "kind of the files: config, control, balancer or policy")
+	return command
+}
+
+func checkFile(kind, file string) error {
+	var err error
+	switch kind {
+	case kindConfig:
+		_, err = config.Load(file)
+	case kindControl:
+		_, err = settings.LoadControl(file, nil)
+	case kindBalancer:
+		_, err = settings.LoadBalancer(file, nil)
+	case kindPolicy:
+		_, err = loadPolicy(file)
+	default:
+		err = usageError("--kind: %q: must be config, control, balancer or policy", kind)
+	}
+	return err
+}
+
+// loadPolicy compiles a program from a file, or one that comes with beamdoor.
+func loadPolicy(name string) (*policy.Program, error) {
+	if strings.HasPrefix(name, policy.BuiltinPrefix) {
+		source, err := policy.Builtin(name)
+		if err != nil {
+			return nil, err
+		}
+		return policy.Compile(name, source)
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return policy.Compile(name, string(data))
+}
+
+func policyCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "policy", Short: "Work with policy programs"}
+	var samples string
+	test := &cobra.Command{
+		Use:   "test PROGRAM",
+		Short: "Run a policy program on samples and show what it decides",
+		Long:  "Run a policy program on samples and show what it decides. PROGRAM is a file or the name of a built-in one.",
+		Example: `  beamdoor policy test builtin/least-load --samples samples.yaml
+  beamdoor policy test night.star --samples samples.yaml`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			program, err := loadPolicy(args[0])
+			if err != nil {
+				return &ExitError{Code: ExitUsage, Cause: err}
+			}
+			list, err := loadSamples(samples)
+			if err != nil {
+				return &ExitError{Code: ExitUsage, Cause: err}
+			}
+			shown := &table{header: []string{"TARGET", "WEIGHT", "LEAVE ALONE"}}
+			for _, sample := range list {
+				weight, reason, err := decide(program, sample)
+				if err != nil {
+					return err
+				}
+				shown.add(sample.Name, weight, reason)
+			}
+			return shown.write(cmd.OutOrStdout())
+		},
+	}
+	test.Flags().StringVar(&samples, "samples", "", "file with samples (YAML list)")
+	_ = test.MarkFlagRequired("samples")
+	list := &cobra.Command{
+		Use:   "list",
+		Short: "List the policy programs that come with beamdoor",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			for _, name := range policy.BuiltinNames() {
+				fmt.Fprintln(cmd.OutOrStdout(), name)
+			}
+		},
+	}
+	parent.AddCommand(test, list)
+	return parent
+}
+
+func loadSamples(file string) ([]policy.Sample, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	collector := &config.Collector{File: file}
+	var list []policy.Sample
+	config.DecodeStrict(collector, data, &list)
+	return list, collector.Err()
+}
+
+func decide(program *policy.Program, sample policy.Sample) (weight, reason string, err error) {
+	weight, reason = "-", "-"
+	if program.SharesWork() {
+		value, err := program.Weight(sample)
+		if err != nil {
+			return "", "", err
+		}
+		weight = fmt.Sprint(value)
+	}
+	if program.LeavesAlone() {
+		if reason, err = program.LeaveAlone(sample); err != nil {
+			return "", "", err
+		}
+		if reason == "" {
+			reason = "no"
+		}
+	}
+	return weight, reason, nil
+}
+
+func dataCommand() *cobra.Command {
+	parent := &cobra.Command{Use: "data", Short: "Work with a control member's data folder while it is stopped"}
+	verify := &cobra.Command{
+		Use:     "verify FOLDER",
+		Short:   "Read a data folder without changing it and report its state",
+		Example: "  beamdoor data verify /var/lib/beamdoor/control-1",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := os.Stat(args[0]); err != nil {
+				return &ExitError{Code: ExitNotFound, Cause: err}
+			}
+			return verifyFolder(cmd, args[0])
+		},
+	}
+	parent.AddCommand(verify)
+	return parent
+}
+
+func verifyFolder(cmd *cobra.Command, path string) error {
+	folder, err := wal.OpenFolder(path)
+	if err != nil {
+		return err
+	}
+	restored, report, err := wal.Verify(folder)
+	if err != nil {
+		return err
+	}
+	revision := uint64(0)
+	if len(restored.Snapshot.Data) > 0 {
+		state, err := store.Decode(restored.Snapshot.Data, store.Options{})
+		if err != nil {
+			return err
+		}
+		revision = state.Revision()
+	}
+	summary := map[string]any{
+		"segments":          report.Segments,
+		"records":           report.Records,
+		"torn_bytes":        report.TornBytes,
+		"term":              restored.HardState.Term,
+		"snapshot_index":    restored.Snapshot.Index,
+		"snapshot_revision": revision,
+		"entries":           len(restored.Entries),
+		"voters":            restored.Snapshot.Membership.Voters,
+	}
+	return yaml.NewEncoder(cmd.OutOrStdout()).Encode(summary)
+}
--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,466 @@
+// Package control provides a control member: the replicated state, the leases
+// and views of the balancers, and the spread of the configuration to them.
+// Core is deterministic; Process runs it with goroutines, disks and sockets.
+package control
+
+import (
+	"time"
+
+	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/raft"
+	"github.com/beamdoor/beamdoor/internal/steperror"
+	"github.com/beamdoor/beamdoor/internal/store"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+// ConnectionID identifies the connection of a balancer to this member.
+type ConnectionID uint64
+
+// Token links a proposal with its outcome.
+type Token uint64
+
+// Storage makes the replicated log durable.
+type Storage interface {
+	// Save returns once all that the Ready asks for is on disk.
+	Save(ready raft.Ready, whole raft.Restored) error
+	// Rewrite replaces the log by a snapshot and the entries after it.
+	Rewrite(whole raft.Restored) error
+}
+
+// Mechanisms switches off single mechanisms for tests.
+type Mechanisms struct {
+	Raft  raft.Mechanisms
+	Store store.Options
+	// NoLeaseWait removes a silent balancer from the view before its lease ends.
+	NoLeaseWait bool
+	// NoLeaderLease grants leases and serves reads without a quorum's support.
+	NoLeaderLease bool
+}
+
+// Settings are the fixed settings of a member's core.
+type Settings struct {
+	Raft raft.Settings
+	// Lease is how long a balancer may decide alone after a report.
+	Lease time.Duration
+	// LeaseMargin is kept between the end of a lease and its consequences.
+	LeaseMargin time.Duration
+	// LagLimit is how long a balancer may be behind its cell's configuration
+	// before its lease is no longer renewed.
+	LagLimit time.Duration
+	// FoundingWait collects the first balancers of a cell into one view.
+	FoundingWait time.Duration
+	// SettleLimit is the longest wait for a view to settle before the next
+	// planned change.
+	SettleLimit time.Duration
+	// SnapshotEntries is the length of the log at which it is compacted.
+	SnapshotEntries int
+	Mechanisms      Mechanisms
+}
+
+// DefaultSettings returns the settings of a member in production.
+func DefaultSettings() Settings {
+	return Settings{
+		Raft: raft.Settings{
+			ElectionTimeout: 600 * time.Millisecond,
+			Heartbeat:       100 * time.Millisecond,
+			MaxAppend:       256,
+			ChunkSize:       256 << 10,
+		},
+		Lease:           3 * time.Second,
+		LeaseMargin:     300 * time.Millisecond,
+		LagLimit:        5 * time.Second,
+		FoundingWait:    1500 * time.Millisecond,
+		SettleLimit:     15 * time.Second,
+		SnapshotEntries: 4096,
+	}
+}
+
+// MemberMessage is a frame for another control member.
+type MemberMessage struct {
+	To    raft.MemberID
+	Frame wire.Frame
+}
+
+// NodeMessage is a frame for a connected balancer.
+type NodeMessage struct {
+	Connection ConnectionID
+	Frame      wire.Frame
+}
+
+// Outcome tells what became of a proposal.
+type Outcome struct {
+	Token  Token
+	Result store.Result
+	// Err is set when the outcome is not known: the leader changed before the
+	// proposal was committed. A resend with the same request identity is safe.
+	Err error
+}
+
+// LogEvent is an event for the structured log.
+type LogEvent struct {
+	Event  eventlog.ID
+	Fields []any
+}
+
+// Output is what the core wants done after an input.
+type Output struct {
+	Members  []MemberMessage
+	Nodes    []NodeMessage
+	Outcomes []Outcome
+	Events   []LogEvent
+	// Applied is set when the replicated state has changed.
+	Applied bool
+}
+
+// pendingProposal waits for its entry to commit.
+type pendingProposal struct {
+	token Token
+	term  uint64
+}
+
+// Core is the deterministic part of a control member. One goroutine owns it.
+type Core struct {
+	settings Settings
+	node     *raft.Node
+	storage  Storage
+	store    *store.Store
+	pending  map[uint64]pendingProposal
+	leases   *leaseTable
+	nodes    *nodeTable
+	tracer   *tracer
+	output   Output
+	role     raft.Role
+	term     uint64
+	applied  uint64
+	failed   error
+
+	queuedReports []wire.NodeReport
+}
+
+// NewCore returns a member that starts from what its disk held.
+func NewCore(now kernel.Instant, settings Settings, storage Storage, restored raft.Restored) (*Core, error) {
+	state := store.New(settings.Mechanisms.Store)
+	if restored.Snapshot.Index > 0 && len(restored.Snapshot.Data) > 0 {
+		decoded, err := store.Decode(restored.Snapshot.Data, settings.Mechanisms.Store)
+		if err != nil {
+			return nil, steperror.Wrap("control.restore", "", err)
+		}
+		state = decoded
+	}
+	settings.Raft.Mechanisms = settings.Mechanisms.Raft
+	core := &Core{
+		settings: settings,
+		node:     raft.NewNode(now, settings.Raft, restored),
+		storage:  storage,
+		store:    state,
+		pending:  map[uint64]pendingProposal{},
+		nodes:    newNodeTable(),
+		tracer:   newTracer(),
+		applied:  restored.Snapshot.Index,
+	}
+	core.leases = newLeaseTable(core)
+	return core, nil
+}
+
+// Bootstrap returns what the disk of a first member holds before it starts:
+// a snapshot with the first membership and the members' addresses.
+func Bootstrap(members []*beamdoorv1.Member) (raft.Restored, error) {
+	state := store.New(store.Options{})
+	var membership raft.Membership
+	for _, member := range members {
+		membership.Voters = append(membership.Voters, raft.MemberID(member.Id))
+		state.Apply(store.Command{
+			Kind: store.CommandSetMember,
+			Body: &beamdoorv1.ChangeMemberRequest{
+				Change: beamdoorv1.MemberChange_MEMBER_CHANGE_PROMOTE,
+				Member: member,
+			},
+		})
+	}
+	data, err := state.Encode()
+	if err != nil {
+		return raft.Restored{}, err
+	}
+	return raft.Restored{
+		Snapshot: raft.Snapshot{Index: 1, Term: 0, Membership: membership, Data: data},
+		Pins:     map[raft.MemberID]uint64{},
+	}, nil
+}
+
+// Failed returns the error of the disk that stopped this member, or nil.
+func (c *Core) Failed() error { return c.failed }
+
+// Store returns the replicated state as far as this member has applied it.
+func (c *Core) Store() *store.Store { return c.store }
+
+// Raft returns the replicated log's core, for status reports.
+func (c *Core) Raft() *raft.Node { return c.node }
+
+// IsLeader reports whether this member leads.
+func (c *Core) IsLeader() bool { return c.node.Role() == raft.Leader }
+
+// CanRead reports whether this member can answer a linearizable read now.
+func (c *Core) CanRead(now kernel.Instant) bool {
+	if c.settings.Mechanisms.NoLeaderLease {
+		return c.IsLeader()
+	}
+	return c.failed == nil && c.node.HasLease(now) && c.applied >= c.node.Commit()
+}
+
+// Tick lets time pass. It is called at least ten times a second.
+func (c *Core) Tick(now kernel.Instant) Output {
+	if c.failed != nil {
+		return Output{}
+	}
+	c.node.Tick(now)
+	c.flush(now)
+	if c.IsLeader() {
+		c.leases.tick(now)
+	}
+	c.forwardReports(now)
+	c.flush(now)
+	return c.take()
+}
+
+// HandleMember handles a frame from another control member.
+func (c *Core) HandleMember(now kernel.Instant, from raft.MemberID, frame wire.Frame) Output {
+	if c.failed != nil {
+		return Output{}
+	}
+	switch frame.Kind {
+	case wire.FrameRaft:
+		message, err := raft.DecodeMessage(frame.Payload)
+		if err != nil || message.From != from {
+			c.log(eventlog.BadFrame, "peer", from, "err", err)
+			return c.take()
+		}
+		c.node.Step(now, message)
+	case wire.FrameReports:
+		c.receiveReports(now, from, frame)
+	case wire.FrameGrants:
+		c.receiveGrants(frame)
+	case wire.FrameSignals:
+		c.receiveSignals(frame)
+	}
+	c.flush(now)
+	return c.take()
+}
+
+func (c *Core) receiveReports(now kernel.Instant, from raft.MemberID, frame wire.Frame) {
+	reports, err := wire.DecodeReports(frame.Payload)
+	if err != nil {
+		c.log(eventlog.BadFrame, "peer", from, "err", err)
+		return
+	}
+	if !c.IsLeader() {
+		return
+	}
+	grants := c.leases.receive(now, reports)
+	c.sendMember(from, wire.GrantsFrame(grants))
+}
+
+func (c *Core) receiveGrants(frame wire.Frame) {
+	grants, err := wire.DecodeGrants(frame.Payload)
+	if err != nil {
+		c.log(eventlog.BadFrame, "err", err)
+		return
+	}
+	c.deliverGrants(grants)
+}
+
+func (c *Core) receiveSignals(frame wire.Frame) {
+	decoder := wire.NewDecoder(frame.Payload)
+	signals := wire.DecodeSignals(decoder)
+	if err := decoder.Err("control.signals"); err != nil {
+		c.log(eventlog.BadFrame, "err", err)
+		return
+	}
+	c.spreadSignals(signals)
+}
+
+// Propose appends a command to the replicated log. The outcome follows later
+// under the token, or at once when this member does not lead.
+func (c *Core) Propose(now kernel.Instant, token Token, command store.Command) Output {
+	c.propose(now, token, command)
+	c.flush(now)
+	return c.take()
+}
+
+func (c *Core) propose(now kernel.Instant, token Token, command store.Command) {
+	const step = "control.propose"
+	if c.failed != nil {
+		c.output.Outcomes = append(c.output.Outcomes, Outcome{Token: token, Err: c.failed})
+		return
+	}
+	data, err := store.EncodeCommand(command)
+	if err != nil {
+		c.output.Outcomes = append(c.output.Outcomes, Outcome{Token: token, Err: err})
+		return
+	}
+	index, term, err := c.node.Propose(now, data)
+	if err != nil {
+		c.output.Outcomes = append(c.output.Outcomes, Outcome{Token: token, Err: steperror.Wrap(step, "", err)})
+		return
+	}
+	c.pending[index] = pendingProposal{token: token, term: term}
+}
+
+// ProposeMembership starts a change by one control member.
+func (c *Core) ProposeMembership(now kernel.Instant, token Token, next raft.Membership) Output {
+	index, term, err := c.node.ProposeMembership(now, next)
+	if err != nil {
+		c.output.Outcomes = append(c.output.Outcomes, Outcome{Token: token, Err: err})
+		return c.take()
+	}
+	c.pending[index] = pendingProposal{token: token, term: term}
+	c.flush(now)
+	return c.take()
+}
+
+func (c *Core) log(event eventlog.ID, fields ...any) {
+	c.output.Events = append(c.output.Events, LogEvent{Event: event, Fields: fields})
+}
+
+func (c *Core) sendMember(to raft.MemberID, frame wire.Frame) {
+	c.output.Members = append(c.output.Members, MemberMessage{To: to, Frame: frame})
+}
+
+func (c *Core) sendNode(to ConnectionID, frame wire.Frame) {
+	c.output.Nodes = append(c.output.Nodes, NodeMessage{Connection: to, Frame: frame})
+}
+
+func (c *Core) take() Output {
+	output := c.output
+	c.output = Output{}
+	return output
+}
+
+// flush persists, sends and applies until the replicated log has no more work.
+func (c *Core) flush(now kernel.Instant) {
+	for c.failed == nil && c.node.HasReady() {
+		ready := c.node.Ready()
+		if err := c.storage.Save(ready, c.node.Restored()); err != nil {
+			c.stop(err)
+			return
+		}
+		c.node.Advance(now)
+		for _, message := range ready.Messages {
+			c.sendMember(message.To, wire.Frame{Kind: wire.FrameRaft, Payload: raft.EncodeMessage(message)})
+		}
+		if ready.Snapshot != nil {
+			c.restore(*ready.Snapshot)
+		}
+		for _, entry := range ready.Committed {
+			c.apply(now, entry)
+		}
+		c.noteRole(now)
+		c.compact()
+	}
+}
+
+// stop ends this member: nothing it writes from now on would be known to last.
+func (c *Core) stop(err error) {
+	c.failed = err
+	c.log(eventlog.DiskFailed, "err", err)
+	c.failPending(err)
+}
+
+func (c *Core) failPending(err error) {
+	for _, proposal := range c.pending {
+		c.output.Outcomes = append(c.output.Outcomes, Outcome{Token: proposal.token, Err: err})
+	}
+	c.pending = map[uint64]pendingProposal{}
+}
+
+func (c *Core) restore(snapshot raft.Snapshot) {
+	state, err := store.Decode(snapshot.Data, c.settings.Mechanisms.Store)
+	if err != nil {
+		c.stop(steperror.Wrap("control.restore", "", err))
+		return
+	}
+	c.store = state
+	c.applied = snapshot.Index
+	c.output.Applied = true
+	c.log(eventlog.SnapshotInstalled, "index", snapshot.Index, "revision", state.Revision())
+	c.spreadConfig()
+}
+
+func (c *Core) apply(now kernel.Instant, entry raft.Entry) {
+	c.applied = entry.Index
+	var result store.Result
+	if entry.Kind == raft.EntryCommand {
+		command, err := store.DecodeCommand(entry.Data)
+		if err != nil {
+			c.stop(steperror.Wrap("control.apply", "", err))
+			return
+		}
+		result = c.store.Apply(command)
+		c.afterApply(now, command, result)
+	}
+	c.resolve(entry, result)
+}
+
+func (c *Core) afterApply(now kernel.Instant, command store.Command, result store.Result) {
+	c.output.Applied = true
+	if result.Code != store.ErrorNone || result.Repeated {
+		return
+	}
+	if c.IsLeader() {
+		c.tracer.accepted(now, result.Revision)
+	}
+	if change, ok := command.Body.(*beamdoorv1.ViewChange); ok {
+		c.leases.cell(change.Cell).changing = false
+		view := c.store.View(change.Cell)
+		c.log(eventlog.ViewChanged, "cell", change.Cell, "view", view.Number, "members", len(view.Members), "revision", result.Revision)
+	}
+	c.spreadConfig()
+}
+
+func (c *Core) resolve(entry raft.Entry, result store.Result) {
+	proposal, waiting := c.pending[entry.Index]
+	if !waiting {
+		return
+	}
+	delete(c.pending, entry.Index)
+	outcome := Outcome{Token: proposal.token, Result: result}
+	if proposal.term != entry.Term {
+		outcome.Err = steperror.New("control.propose", "", "another leader's entry took this place")
+	}
+	c.output.Outcomes = append(c.output.Outcomes, outcome)
+}
+
+// noteRole reacts to a change of role or term.
+func (c *Core) noteRole(now kernel.Instant) {
+	if c.role == c.node.Role() && c.term == c.node.Term() {
+		return
+	}
+	if c.role == raft.Leader {
+		c.failPending(steperror.New("control.propose", "", "leadership was lost before the write was committed"))
+	}
+	c.role = c.node.Role()
+	c.term = c.node.Term()
+	c.log(eventlog.RoleChanged, "role", c.role, "term", c.term, "leader", c.node.Leader())
+	if c.role == raft.Leader {
+		c.leases.takeOver(now)
+		c.tracer.reset()
+	}
+}
+
+func (c *Core) compact() {
+	if len(c.node.Entries()) < c.settings.SnapshotEntries || c.failed != nil {
+		return
+	}
+	data, err := c.store.Encode()
+	if err != nil {
+		c.stop(err)
+		return
+	}
+	snapshot := c.node.Compact(c.applied, data)
+	if err := c.storage.Rewrite(c.node.Restored()); err != nil {
+		c.stop(err)
+		return
+	}
+	c.log(eventlog.SnapshotSaved, "index", snapshot.Index, "bytes", len(data))
+}
--- /dev/null
+++ b/internal/control/nodes.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+// connectedNode is a balancer connected to this member.
+type connectedNode struct {
+	connection ConnectionID
+	nonce      uint64
+	cell       uint32
+	sent       uint64
+	known      bool
+	// reported is the revision in the last report, and repeats how often it
+	// came while a newer one had been sent.
+	reported uint64
+	repeats  int
+}
+
+// nodeTable holds the balancers connected to this member, by connection, by
+// nonce and by cell.
+type nodeTable struct {
+	byConnection map[ConnectionID]*connectedNode
+	byNonce      map[uint64]*connectedNode
+	byCell       map[uint32]map[ConnectionID]*connectedNode
+	signals      map[uint32]wire.Signals
+}
+
+func newNodeTable() *nodeTable {
+	return &nodeTable{
+		byConnection: map[ConnectionID]*connectedNode{},
+		byNonce:      map[uint64]*connectedNode{},
+		byCell:       map[uint32]map[ConnectionID]*connectedNode{},
+		signals:      map[uint32]wire.Signals{},
+	}
+}
+
+func (t *nodeTable) add(connection ConnectionID, report wire.NodeReport) *connectedNode {
+	node, known := t.byConnection[connection]
+	if known && node.nonce == report.Nonce {
+		return node
+	}
+	node = &connectedNode{connection: connection, nonce: report.Nonce, cell: report.Cell}
+	t.byConnection[connection] = node
+	t.byNonce[report.Nonce] = node
+	cell, exists := t.byCell[report.Cell]
+	if !exists {
+		cell = map[ConnectionID]*connectedNode{}
+		t.byCell[report.Cell] = cell
+	}
+	cell[connection] = node
+	return node
+}
+
+func (t *nodeTable) remove(connection ConnectionID) {
+	node, known := t.byConnection[connection]
+	if !known {
+		return
+	}
+	delete(t.byConnection, connection)
+	delete(t.byCell[node.cell], connection)
+	if t.byNonce[node.nonce] == node {
+		delete(t.byNonce, node.nonce)
+	}
+}
+
+// HandleNode handles a frame from a connected balancer.
+func (c *Core) HandleNode(now kernel.Instant, connection ConnectionID, frame wire.Frame) Output {
+	if c.failed != nil || frame.Kind != wire.FrameReport {
+		return Output{}
+	}
+	decoder := wire.NewDecoder(frame.Payload)
+	report := wire.DecodeNodeReport(decoder)
+	if err := decoder.Err("control.report"); err != nil {
+		c.log(eventlog.BadFrame, "connection", connection, "err", err)
+		return c.take()
+	}
+	node := c.nodes.add(connection, report)
+	if !node.known {
+		node.known = true
+		node.sent = report.Applied
+		c.sendSignals(node)
+	}
+	node.noteReport(report.Applied)
+	c.sendConfig(node)
+	if c.IsLeader() {
+		c.deliverGrants(c.leases.receive(now, []wire.NodeReport{report}))
+	} else {
+		c.queuedReports = append(c.queuedReports, report)
+	}
+	c.flush(now)
+	return c.take()
+}
+
+// resendAfter is the number of reports with an old revision after which the
+// configuration is sent again.
+const resendAfter = 4
+
+// noteReport finds out whether a configuration that was sent has got lost.
+func (n *connectedNode) noteReport(applied uint64) {
+	n.sent = max(n.sent, applied)
+	if applied != n.reported || applied >= n.sent {
+		n.reported = applied
+		n.repeats = 0
+		return
+	}
+	n.repeats++
+	if n.repeats >= resendAfter {
+		n.sent = applied
+		n.repeats = 0
+	}
+}
+
+// NodeGone forgets a balancer's connection.
+func (c *Core) NodeGone(connection ConnectionID) { c.nodes.remove(connection) }
+
+// ConnectedNodes returns the number of balancers connected to this member.
+func (c *Core) ConnectedNodes() int { return len(c.nodes.byConnection) }
+
+// forwardReports passes the reports of connected balancers on to the leader,
+// many in one frame.
+func (c *Core) forwardReports(now kernel.Instant) {
+	if len(c.queuedReports) == 0 {
+		return
+	}
+	reports := c.queuedReports
+	c.queuedReports = nil
+	if c.IsLeader() {
+		c.deliverGrants(c.leases.receive(now, reports))
+		return
+	}
+	if leader := c.node.Leader(); leader != 0 {
+		c.sendMember(leader, wire.ReportsFrame(reports))
+	}
+}
+
+func (c *Core) deliverGrants(grants []wire.Grant) {
+	for _, grant := range grants {
+		if node, connected := c.nodes.byNonce[grant.Nonce]; connected {
+			c.sendNode(node.connection, wire.GrantFrame(grant))
+		}
+	}
+}
+
+// spreadConfig sends each connected balancer what changed in its cell.
+func (c *Core) spreadConfig() {
+	for cell, nodes := range c.nodes.byCell {
+		newest := c.store.CellRevision(cell)
+		frames := map[uint64]wire.Frame{}
+		for _, node := range nodes {
+			if node.sent < newest {
+				c.sendConfigFrame(node, frames)
+			}
+		}
+	}
+}
+
+func (c *Core) sendConfig(node *connectedNode) {
+	if node.sent < c.store.CellRevision(node.cell) {
+		c.sendConfigFrame(node, map[uint64]wire.Frame{})
+	}
+}
+
+// sendConfigFrame sends the difference to what the node has; nodes with the
+// same revision share one encoding.
+func (c *Core) sendConfigFrame(node *connectedNode, frames map[uint64]wire.Frame) {
+	frame, made := frames[node.sent]
+	if !made {
+		payload, err := proto.Marshal(c.store.CellConfig(node.cell, node.sent))
+		if err != nil {
+			c.log(eventlog.BadFrame, "err", err)
+			return
+		}
+		frame = wire.Frame{Kind: wire.FrameConfig, Payload: payload}
+		frames[node.sent] = frame
+	}
+	node.sent = c.store.Revision()
+	c.sendNode(node.connection, frame)
+}
+
+// SetSignals spreads new verdicts on the targets of a cell; only a leader
+// calls it.
+func (c *Core) SetSignals(cell uint32, targets []wire.TargetSignal) Output {
+	if !c.IsLeader() {
+		return c.take()
+	}
+	previous := c.nodes.signals[cell]
+	signals := wire.Signals{
+		Term:     c.node.Term(),
+		Sequence: previous.Sequence + 1,
+		Cell:     cell,
+		Targets:  targets,
+	}
+	frame := wire.SignalsFrame(signals)
+	for _, member := range c.store.Members() {
+		if member.Id != uint32(c.settings.Raft.ID) {
+			c.sendMember(memberID(member.Id), frame)
+		}
+	}
+	c.spreadSignals(signals)
+	return c.take()
+}
+
+func (c *Core) spreadSignals(signals wire.Signals) {
+	previous := c.nodes.signals[signals.Cell]
+	older := signals.Term < previous.Term
+	older = older || signals.Term == previous.Term && signals.Sequence <= previous.Sequence
+	if older {
+		return
+	}
+	c.nodes.signals[signals.Cell] = signals
+	frame := wire.SignalsFrame(signals)
+	for _, node := range c.nodes.byCell[signals.Cell] {
+		c.sendNode(node.connection, frame)
+	}
+}
+
+func (c *Core) sendSignals(node *connectedNode) {
+	if signals, known := c.nodes.signals[node.cell]; known {
+		c.sendNode(node.connection, wire.SignalsFrame(signals))
+	}
+}
--- /dev/null
+++ b/internal/control/process.go
@@ -0,0 +1,383 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/raft"
+	"github.com/beamdoor/beamdoor/internal/ring"
+	"github.com/beamdoor/beamdoor/internal/settings"
+	"github.com/beamdoor/beamdoor/internal/steperror"
+	"github.com/beamdoor/beamdoor/internal/store"
+	"github.com/beamdoor/beamdoor/internal/wal"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+const (
+	inputCapacity  = 8192
+	outputCapacity = 4096
+	tickInterval   = 50 * time.Millisecond
+	inputBatch     = 256
+)
+
+// input is a typed message for the goroutine that owns the core.
+type input interface {
+	handle(p *Process, now kernel.Instant) Output
+}
+
+// Process runs a control member: one goroutine owns the core, others have one
+// duty each and reach it through a bounded ring.
+type Process struct {
+	settings *settings.Control
+	logger   *eventlog.Logger
+	core     *Core
+	log      *wal.Log
+	started  time.Time
+	inputs   *ring.Ring[input]
+	members  map[raft.MemberID]*memberLink
+	nodes    map[ConnectionID]*ring.Ring[wire.Frame]
+	waiting  map[Token]chan Outcome
+	token    Token
+	watchers map[chan struct{}]bool
+	metrics  *metrics
+	prober   *prober
+
+	mutex     sync.Mutex
+	nextConn  ConnectionID
+	listeners []net.Listener
+	server    *http.Server
+	failure   error
+	group     sync.WaitGroup
+	stopped   chan struct{}
+	stopOnce  sync.Once
+}
+
+// OpenProcess opens the data folder and prepares a member. Nothing listens yet.
+func OpenProcess(loaded *settings.Control, core Settings, logger *eventlog.Logger) (*Process, error) {
+	folder, err := wal.OpenFolder(loaded.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	identity, fresh, err := wal.LoadIdentity(folder, rand.Uint64)
+	if err != nil {
+		return nil, err
+	}
+	log, restored, report, err := wal.Open(folder)
+	if err != nil {
+		return nil, err
+	}
+	if report.TornBytes > 0 {
+		logger.Event(eventlog.TailCut, "bytes", report.TornBytes)
+	}
+	if fresh && loaded.Bootstrap {
+		if restored, err = bootstrap(loaded, log); err != nil {
+			return nil, err
+		}
+	}
+	core.Raft.ID = raft.MemberID(loaded.ID)
+	core.Raft.Identity = identity
+	core.Raft.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	process := &Process{
+		settings: loaded,
+		logger:   logger,
+		log:      log,
+		started:  time.Now(),
+		inputs:   ring.New[input](inputCapacity),
+		members:  map[raft.MemberID]*memberLink{},
+		nodes:    map[ConnectionID]*ring.Ring[wire.Frame]{},
+		waiting:  map[Token]chan Outcome{},
+		watchers: map[chan struct{}]bool{},
+		metrics:  newMetrics(),
+		stopped:  make(chan struct{}),
+	}
+	process.core, err = NewCore(process.now(), core, log, restored)
+	process.prober = newProber(process)
+	return process, err
+}
+
+func bootstrap(loaded *settings.Control, log *wal.Log) (raft.Restored, error) {
+	var members []*beamdoorv1.Member
+	for _, member := range loaded.Members {
+		members = append(members, &beamdoorv1.Member{
+			Id:    member.ID,
+			Peer:  member.Peer,
+			Admin: member.Admin,
+			Nodes: member.Nodes,
+		})
+	}
+	restored, err := Bootstrap(members)
+	if err != nil {
+		return raft.Restored{}, err
+	}
+	return restored, log.Rewrite(restored)
+}
+
+// now returns the time on this process's monotonic clock.
+func (p *Process) now() kernel.Instant { return kernel.Instant(time.Since(p.started)) }
+
+// Run serves until the context ends or the disk fails.
+func (p *Process) Run(ctx context.Context) error {
+	if err := p.listen(); err != nil {
+		return err
+	}
+	p.logger.Event(eventlog.ProcessStarted, "member", p.settings.ID, "data_folder", p.settings.DataFolder)
+	p.spawn(p.runCore)
+	p.spawn(p.runTicker)
+	p.spawn(p.prober.run)
+	select {
+	case <-ctx.Done():
+		p.logger.Event(eventlog.StopRequested)
+	case <-p.stopped:
+	}
+	p.stop()
+	p.group.Wait()
+	p.logger.Event(eventlog.ProcessStopped, "member", p.settings.ID)
+	return p.failure
+}
+
+func (p *Process) spawn(duty func()) {
+	p.group.Add(1)
+	go func() {
+		defer p.group.Done()
+		duty()
+	}()
+}
+
+func (p *Process) stop() {
+	p.stopOnce.Do(func() { close(p.stopped) })
+	p.mutex.Lock()
+	for _, listener := range p.listeners {
+		_ = listener.Close()
+	}
+	p.mutex.Unlock()
+	if p.server != nil {
+		_ = p.server.Close()
+	}
+	p.inputs.Close()
+}
+
+func (p *Process) isStopped() bool {
+	select {
+	case <-p.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// runTicker feeds the passing of time to the core.
+func (p *Process) runTicker() {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			p.inputs.TryPush(tickInput{})
+		case <-p.stopped:
+			return
+		}
+	}
+}
+
+// runCore owns the core until the ring is closed.
+func (p *Process) runCore() {
+	defer p.closeLinks()
+	var batch []input
+	for {
+		var open bool
+		batch, open = p.inputs.PopBatch(batch[:0], inputBatch)
+		if !open {
+			break
+		}
+		for _, message := range batch {
+			p.dispatch(message.handle(p, p.now()))
+		}
+		if err := p.core.Failed(); err != nil {
+			p.failure = err
+			p.stopOnce.Do(func() { close(p.stopped) })
+			break
+		}
+	}
+	for token, answer := range p.waiting {
+		answer <- Outcome{Token: token, Err: steperror.New("control.propose", "", "the member is stopping")}
+	}
+	_ = p.log.Close()
+}
+
+// dispatch carries out what the core wants done.
+func (p *Process) dispatch(output Output) {
+	for _, message := range output.Members {
+		p.sendMember(message)
+	}
+	for _, message := range output.Nodes {
+		if queue, connected := p.nodes[message.Connection]; connected {
+			queue.TryPush(message.Frame)
+			p.metrics.nodeBytes.Add(float64(wire.FrameSize(message.Frame)))
+		}
+	}
+	for _, outcome := range output.Outcomes {
+		if answer, known := p.waiting[outcome.Token]; known {
+			delete(p.waiting, outcome.Token)
+			answer <- outcome
+		}
+	}
+	for _, event := range output.Events {
+		p.logger.Event(event.Event, event.Fields...)
+	}
+	if output.Applied {
+		p.wakeWatchers()
+	}
+	p.metrics.observe(p.core)
+}
+
+func (p *Process) wakeWatchers() {
+	for watcher := range p.watchers {
+		select {
+		case watcher <- struct{}{}:
+		default:
+		}
+	}
+}
+
+type tickInput struct{}
+
+func (tickInput) handle(p *Process, now kernel.Instant) Output { return p.core.Tick(now) }
+
+type memberInput struct {
+	from  raft.MemberID
+	frame wire.Frame
+}
+
+func (m memberInput) handle(p *Process, now kernel.Instant) Output {
+	return p.core.HandleMember(now, m.from, m.frame)
+}
+
+type nodeInput struct {
+	connection ConnectionID
+	frame      wire.Frame
+}
+
+func (n nodeInput) handle(p *Process, now kernel.Instant) Output {
+	return p.core.HandleNode(now, n.connection, n.frame)
+}
+
+type nodeOpened struct {
+	connection ConnectionID
+	queue      *ring.Ring[wire.Frame]
+}
+
+func (n nodeOpened) handle(p *Process, _ kernel.Instant) Output {
+	p.nodes[n.connection] = n.queue
+	return Output{}
+}
+
+type nodeClosed struct{ connection ConnectionID }
+
+func (n nodeClosed) handle(p *Process, _ kernel.Instant) Output {
+	p.core.NodeGone(n.connection)
+	delete(p.nodes, n.connection)
+	return Output{}
+}
+
+type proposeInput struct {
+	command store.Command
+	answer  chan Outcome
+}
+
+func (i proposeInput) handle(p *Process, now kernel.Instant) Output {
+	p.token++
+	p.waiting[p.token] = i.answer
+	return p.core.Propose(now, p.token, i.command)
+}
+
+type membershipInput struct {
+	change func(raft.Membership) raft.Membership
+	answer chan Outcome
+}
+
+func (i membershipInput) handle(p *Process, now kernel.Instant) Output {
+	p.token++
+	p.waiting[p.token] = i.answer
+	return p.core.ProposeMembership(now, p.token, i.change(p.core.Raft().Membership()))
+}
+
+type signalsInput struct {
+	cell    uint32
+	targets []wire.TargetSignal
+}
+
+func (s signalsInput) handle(p *Process, _ kernel.Instant) Output {
+	return p.core.SetSignals(s.cell, s.targets)
+}
+
+type watchInput struct {
+	watcher chan struct{}
+	add     bool
+}
+
+func (w watchInput) handle(p *Process, _ kernel.Instant) Output {
+	if w.add {
+		p.watchers[w.watcher] = true
+	} else {
+		delete(p.watchers, w.watcher)
+	}
+	return Output{}
+}
+
+// query runs a function on the goroutine that owns the core.
+type query struct {
+	run  func(core *Core, now kernel.Instant)
+	done chan struct{}
+}
+
+func (q query) handle(p *Process, now kernel.Instant) Output {
+	q.run(p.core, now)
+	close(q.done)
+	return Output{}
+}
+
+var errStopping = errors.New("the member is stopping")
+
+// ask runs a function with the core and waits for it.
+func (p *Process) ask(ctx context.Context, run func(core *Core, now kernel.Instant)) error {
+	question := query{run: run, done: make(chan struct{})}
+	if !p.inputs.TryPush(question) {
+		return steperror.New("control.ask", "", "the member is overloaded or stopping")
+	}
+	select {
+	case <-question.done:
+		return nil
+	case <-ctx.Done():
+		return steperror.Wrap("control.ask", "", ctx.Err())
+	case <-p.stopped:
+		return steperror.Wrap("control.ask", "", errStopping)
+	}
+}
+
+// submit pushes an input that has an answer, and waits for the outcome.
+func (p *Process) submit(ctx context.Context, message input, answer chan Outcome) (store.Result, error) {
+	if !p.inputs.TryPush(message) {
+		return store.Result{}, steperror.New("control.submit", "", "the member is overloaded or stopping")
+	}
+	select {
+	case outcome := <-answer:
+		return outcome.Result, outcome.Err
+	case <-ctx.Done():
+		return store.Result{}, steperror.Wrap("control.submit", "", ctx.Err())
+	}
+}
+
+// propose submits a command to the replicated log.
+func (p *Process) propose(ctx context.Context, command store.Command) (store.Result, error) {
+	answer := make(chan Outcome, 1)
+	command.UnixMilliseconds = time.Now().UnixMilli()
+	return p.submit(ctx, proposeInput{command: command, answer: answer}, answer)
+}
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,131 @@
+// Package eventlog provides the structured log: every line carries a numbered
+// event, and docs/EVENTS.md explains each number to operators.
+package eventlog
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+// ID is the number of an event. A number is never reused.
+type ID uint16
+
+// Events of the control members (1000 to 1999).
+const (
+	ProcessStarted    ID = 1000
+	ProcessStopped    ID = 1001
+	StopRequested     ID = 1002
+	RoleChanged       ID = 1010
+	SnapshotSaved     ID = 1011
+	SnapshotInstalled ID = 1012
+	DiskFailed        ID = 1013
+	TailCut           ID = 1014
+	BadFrame          ID = 1020
+	PeerConnected     ID = 1021
+	PeerLost          ID = 1022
+	ViewChanged       ID = 1030
+	BalancerExpired   ID = 1031
+	WriteAccepted     ID = 1040
+	WriteRefused      ID = 1041
+	PolicyFailed      ID = 1050
+	TargetVerdict     ID = 1051
+)
+
+// Events of the balancers (2000 to 2999).
+const (
+	ConfigApplied      ID = 2000
+	ConfigIgnored      ID = 2001
+	LeaseLost          ID = 2010
+	LeaseGained        ID = 2011
+	ViewAdopted        ID = 2020
+	HandoverDone       ID = 2021
+	HistoryUnknown     ID = 2022
+	TargetLost         ID = 2030
+	PacketRefused      ID = 2040
+	ControlLost        ID = 2050
+	ControlConnected   ID = 2051
+	FlowTableFull      ID = 2060
+	RequestUnknown     ID = 2070
+	SocketFailed       ID = 2080
+	DrainLingerExpired ID = 2090
+)
+
+// Description explains one event.
+type Description struct {
+	ID   ID
+	Name string
+	// Text says what happened, in one sentence for the log line.
+	Text string
+}
+
+var catalogue = []Description{
+	{ProcessStarted, "process_started", "process started"},
+	{ProcessStopped, "process_stopped", "process stopped"},
+	{StopRequested, "stop_requested", "stop requested by signal"},
+	{RoleChanged, "role_changed", "role or term of the member changed"},
+	{SnapshotSaved, "snapshot_saved", "snapshot saved and log compacted"},
+	{SnapshotInstalled, "snapshot_installed", "snapshot of the leader installed"},
+	{DiskFailed, "disk_failed", "disk write failed and the member stops"},
+	{TailCut, "tail_cut", "incomplete record cut from the end of the log"},
+	{BadFrame, "bad_frame", "frame could not be read"},
+	{PeerConnected, "peer_connected", "connection to a control member opened"},
+	{PeerLost, "peer_lost", "connection to a control member lost"},
+	{ViewChanged, "view_changed", "view of a cell changed"},
+	{BalancerExpired, "balancer_expired", "lease of a balancer ran out"},
+	{WriteAccepted, "write_accepted", "write of an operator accepted"},
+	{WriteRefused, "write_refused", "write of an operator refused"},
+	{PolicyFailed, "policy_failed", "policy program failed and its last verdict stays in force"},
+	{TargetVerdict, "target_verdict", "verdict on a target changed"},
+	{ConfigApplied, "config_applied", "configuration put in force"},
+	{ConfigIgnored, "config_ignored", "configuration older than the one in force ignored"},
+	{LeaseLost, "lease_lost", "lease lapsed and new work is left to other balancers"},
+	{LeaseGained, "lease_gained", "lease granted"},
+	{ViewAdopted, "view_adopted", "new view of the cell in force"},
+	{HandoverDone, "handover_done", "records handed over for the view"},
+	{HistoryUnknown, "history_unknown", "records of earlier requests lost; outcomes are unknown for the retransmission span"},
+	{TargetLost, "target_lost", "target is dead and its flows end"},
+	{PacketRefused, "packet_refused", "packet refused"},
+	{ControlLost, "control_lost", "connection to the control plane lost"},
+	{ControlConnected, "control_connected", "connection to the control plane opened"},
+	{FlowTableFull, "flow_table_full", "flow table is full and the oldest idle flow was dropped"},
+	{RequestUnknown, "request_unknown", "request ended with unknown outcome"},
+	{SocketFailed, "socket_failed", "socket operation failed"},
+	{DrainLingerExpired, "drain_linger_expired", "stop forced before all work under way was done"},
+}
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Description { return catalogue }
+
+func describe(id ID) Description {
+	for _, description := range catalogue {
+		if description.ID == id {
+			return description
+		}
+	}
+	return Description{ID: id, Name: "unknown", Text: fmt.Sprintf("event %d", id)}
+}
+
+// Logger writes numbered events.
+type Logger struct {
+	base log.Logger
+}
+
+// New returns a logger that writes one logfmt line an event.
+func New(writer io.Writer, process string) *Logger {
+	base := log.NewLogfmtLogger(log.NewSyncWriter(writer))
+	base = log.With(base, "ts", log.TimestampFormat(time.Now, time.RFC3339Nano), "process", process)
+	return &Logger{base: base}
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger { return &Logger{base: log.NewNopLogger()} }
+
+// Event writes one event with key-value fields.
+func (l *Logger) Event(id ID, fields ...any) {
+	description := describe(id)
+	line := append([]any{"event", uint16(id), "name", description.Name, "msg", description.Text}, fields...)
+	_ = l.base.Log(line...)
+}
--- /dev/null
+++ b/internal/policy/builtin/health.star
@@ -0,0 +1,11 @@
+# Leaves a target alone while it says that it is not ready or sheds load, or
+# when its reports stay away.
+
+def leave_alone(target):
+    if not target.ready:
+        return "target reports that it is not ready"
+    if target.shedding:
+        return "target sheds load"
+    if target.failures >= 2:
+        return "target missed %d reports" % target.failures
+    return None
--- /dev/null
+++ b/internal/routing/action.go
@@ -0,0 +1,71 @@
+package routing
+
+import (
+	"net/netip"
+
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+// ActionKind tells what an Action asks for.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	// ActionToTarget sends Payload to the target at Address, behind a header
+	// with Caller, Service and Tag.
+	ActionToTarget ActionKind = iota + 1
+	// ActionToCaller sends Payload to Caller from the address Service.
+	ActionToCaller
+	// ActionToPeer sends Packet to the balancer at Address.
+	ActionToPeer
+	// ActionToControl sends Report to the control plane.
+	ActionToControl
+	// ActionLog writes an event.
+	ActionLog
+)
+
+// Action is something that the router wants done. Its byte slices are valid
+// until the next Step.
+type Action struct {
+	Kind    ActionKind
+	Address netip.AddrPort
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+	Tag     wire.ForwardTag
+	Payload []byte
+	Packet  wire.PeerPacket
+	Report  wire.NodeReport
+	Event   eventlog.ID
+	Fields  []any
+}
+
+// Counters are the router's statistics since its start.
+type Counters struct {
+	CallerPackets    uint64
+	TargetPackets    uint64
+	PeerPackets      uint64
+	ForwardedDirect  uint64
+	RelayedToPrimary uint64
+	RelayedToBackup  uint64
+	Consulted        uint64
+	UnknownService   uint64
+	Malformed        uint64
+	StaleAnswers     uint64
+	OldViewRefused   uint64
+	WithoutLease     uint64
+	Unroutable       uint64
+	FlowsPlaced      uint64
+	FlowsBroken      uint64
+	RefusedNotRun    uint64
+	UnknownOutcome   uint64
+	Retried          uint64
+	RetriesDenied    uint64
+	Retransmissions  uint64
+	AnswersKept      uint64
+	HistoryUnknown   uint64
+	HandoverRecords  uint64
+	// ControlBytes counts the payload bytes of all messages that carry no
+	// caller's packet: reports, handovers and notices of views.
+	ControlBytes uint64
+}
--- /dev/null
+++ b/internal/routing/handover.go
@@ -0,0 +1,312 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+// handoverKind tells what a handover message lists.
+type handoverKind uint8
+
+const (
+	handoverRequests handoverKind = iota + 1
+	handoverFlows
+	// handoverRequestsDone and handoverFlowsDone list the partitions whose
+	// records have all been sent.
+	handoverRequestsDone
+	handoverFlowsDone
+)
+
+const (
+	// handoverBatch is the largest number of records in one message.
+	handoverBatch = 32
+	// handoverDoneBatch is the largest number of partitions in one message.
+	handoverDoneBatch = 256
+	// handoverResend is the time after which a message is sent again.
+	handoverResend = 300 * time.Millisecond
+	// handoverBurst is the budget that can be saved up, in seconds of the rate.
+	handoverBurst = 2
+)
+
+// handoverMessage is one message of a handover, already encoded.
+type handoverMessage struct {
+	sequence uint64
+	payload  []byte
+	// done lists the partitions that the partner holds once this is confirmed.
+	done []int
+}
+
+// handoverJob brings one partner up to date, one message at a time.
+type handoverJob struct {
+	queue  []handoverMessage
+	sentAt kernel.Instant
+	sent   bool
+}
+
+// handover sends the records of the partitions whose pair has a new member,
+// within a budget of bytes a second.
+type handover struct {
+	jobs     map[uint32]*handoverJob
+	sequence uint64
+	budget   float64
+	lastTick kernel.Instant
+}
+
+func (h *handover) init() { h.jobs = map[uint32]*handoverJob{} }
+
+func (h *handover) idle() bool { return len(h.jobs) == 0 }
+
+// plan starts a job for every partner that lacks records that this balancer
+// holds. A new view replaces all plans.
+func (h *handover) plan(r *Router) {
+	h.jobs = map[uint32]*handoverJob{}
+	if r.settings.Mechanisms.NoHandover || r.id == 0 {
+		return
+	}
+	partitions := map[uint32][]int{}
+	owed := map[int]uint32{}
+	for partition := range r.table.view.pairs {
+		partner := r.table.view.pairs[partition].other(r.id)
+		has := r.table.view.pairs[partition].has(r.id)
+		if !has || partner == 0 || r.coverage.partner[partition] == partner {
+			continue
+		}
+		if r.coverage.coversRequests(partition) {
+			partitions[partner] = append(partitions[partner], partition)
+			owed[partition] = partner
+		}
+	}
+	h.queueRequests(r, owed)
+	h.queueDone(partitions, handoverRequestsDone)
+	h.queueFlows(r, owed)
+	h.queueDone(partitions, handoverFlowsDone)
+}
+
+func (h *handover) job(partner uint32) *handoverJob {
+	job, known := h.jobs[partner]
+	if !known {
+		job = &handoverJob{}
+		h.jobs[partner] = job
+	}
+	return job
+}
+
+func (h *handover) add(partner uint32, payload []byte, done []int) {
+	h.sequence++
+	job := h.job(partner)
+	job.queue = append(job.queue, handoverMessage{sequence: h.sequence, payload: payload, done: done})
+}
+
+func (h *handover) queueRequests(r *Router, owed map[int]uint32) {
+	batches := map[uint32][]uint64{}
+	for key, request := range r.ledger.records {
+		partner := owed[PartitionOf(request.flow)]
+		if partner == 0 || request.forget <= r.now {
+			continue
+		}
+		batches[partner] = append(batches[partner], key)
+		if len(batches[partner]) == handoverBatch {
+			h.add(partner, encodeRequests(r, batches[partner]), nil)
+			batches[partner] = nil
+		}
+	}
+	for partner, batch := range batches {
+		if len(batch) > 0 {
+			h.add(partner, encodeRequests(r, batch), nil)
+		}
+	}
+}
+
+func encodeRequests(r *Router, keys []uint64) []byte {
+	var encoder wire.Encoder
+	encoder.Uint8(uint8(handoverRequests))
+	encoder.Uint32(uint32(len(keys)))
+	for _, key := range keys {
+		request := r.ledger.records[key]
+		encoder.Uint64(key)
+		encoder.Uint64(request.flow)
+		encoder.Uint8(uint8(request.state))
+		encoder.Uint8(request.attempt)
+		encoder.Uint32(request.targetID)
+		encoder.Uint32(request.service)
+		encoder.Uint16(uint16(max(0, request.forget.Sub(r.now)) / ledgerTick))
+	}
+	return encoder.Buffer
+}
+
+func (h *handover) queueFlows(r *Router, owed map[int]uint32) {
+	batches := map[uint32][]uint64{}
+	for fingerprint := range r.flows.records {
+		partner := owed[PartitionOf(fingerprint)]
+		if partner == 0 {
+			continue
+		}
+		batches[partner] = append(batches[partner], fingerprint)
+		if len(batches[partner]) == handoverBatch {
+			h.add(partner, encodeFlows(r, batches[partner]), nil)
+			batches[partner] = nil
+		}
+	}
+	for partner, batch := range batches {
+		if len(batch) > 0 {
+			h.add(partner, encodeFlows(r, batch), nil)
+		}
+	}
+}
+
+func encodeFlows(r *Router, fingerprints []uint64) []byte {
+	var encoder wire.Encoder
+	encoder.Uint8(uint8(handoverFlows))
+	encoder.Uint32(uint32(len(fingerprints)))
+	for _, fingerprint := range fingerprints {
+		encoder.Uint64(fingerprint)
+		encoder.Uint32(r.flows.records[fingerprint].targetID)
+	}
+	return encoder.Buffer
+}
+
+func (h *handover) queueDone(partitions map[uint32][]int, kind handoverKind) {
+	for partner, list := range partitions {
+		for len(list) > 0 {
+			batch := list[:min(handoverDoneBatch, len(list))]
+			list = list[len(batch):]
+			var encoder wire.Encoder
+			encoder.Uint8(uint8(kind))
+			encoder.Uint32(uint32(len(batch)))
+			for _, partition := range batch {
+				encoder.Uint16(uint16(partition))
+			}
+			var done []int
+			if kind == handoverFlowsDone {
+				done = batch
+			}
+			h.add(partner, encoder.Buffer, done)
+		}
+	}
+}
+
+// tick sends the next message of each job as far as the budget goes.
+func (h *handover) tick(r *Router) {
+	rate := float64(r.settings.HandoverRate)
+	h.budget = min(h.budget+rate*r.now.Sub(h.lastTick).Seconds(), handoverBurst*rate)
+	h.lastTick = r.now
+	for partner := range h.jobs {
+		h.push(r, partner)
+	}
+}
+
+func (h *handover) push(r *Router, partner uint32) {
+	job := h.jobs[partner]
+	if job == nil || h.budget <= 0 {
+		return
+	}
+	if job.sent && r.now.Sub(job.sentAt) < handoverResend {
+		return
+	}
+	message := job.queue[0]
+	job.sent = true
+	job.sentAt = r.now
+	h.budget -= float64(wire.PeerHeaderSize + len(message.payload))
+	r.sendControlPacket(partner, wire.PeerPacket{
+		Kind:       wire.PeerHandover,
+		RequestKey: message.sequence,
+		Payload:    message.payload,
+	})
+}
+
+// receiveHandoverReply moves on to the next message.
+func (r *Router) receiveHandoverReply(packet *wire.PeerPacket) {
+	job := r.handover.jobs[packet.From]
+	if job == nil || job.queue[0].sequence != packet.RequestKey || packet.View != r.ViewNumber() {
+		return
+	}
+	for _, partition := range job.queue[0].done {
+		r.coverage.partner[partition] = packet.From
+	}
+	job.queue = job.queue[1:]
+	job.sent = false
+	if len(job.queue) == 0 {
+		delete(r.handover.jobs, packet.From)
+		r.log(eventlog.HandoverDone, "view", r.ViewNumber(), "partner", packet.From)
+		return
+	}
+	r.handover.push(r, packet.From)
+}
+
+// receiveHandover takes over records. Those that this balancer has of its own
+// are newer and stay.
+func (r *Router) receiveHandover(packet *wire.PeerPacket) {
+	if r.table.view == nil || packet.View != r.table.view.number {
+		return
+	}
+	decoder := wire.NewDecoder(packet.Payload)
+	kind := handoverKind(decoder.Uint8())
+	count := decoder.Count(2)
+	for ; count > 0; count-- {
+		switch kind {
+		case handoverRequests:
+			r.takeRequest(decoder)
+		case handoverFlows:
+			r.takeFlow(decoder)
+		default:
+			r.takeDone(kind, int(decoder.Uint16()), packet.From)
+		}
+	}
+	if decoder.Err("routing.handover") != nil {
+		r.counters.Malformed++
+		return
+	}
+	r.coverage.recount(r)
+	r.sendControlPacket(packet.From, wire.PeerPacket{Kind: wire.PeerHandoverReply, RequestKey: packet.RequestKey})
+}
+
+func (r *Router) takeRequest(decoder *wire.Decoder) {
+	key := decoder.Uint64()
+	request := &requestRecord{
+		flow:     decoder.Uint64(),
+		state:    requestState(decoder.Uint8()),
+		attempt:  decoder.Uint8(),
+		targetID: decoder.Uint32(),
+		service:  decoder.Uint32(),
+	}
+	request.forget = r.now.Add(time.Duration(decoder.Uint16()) * ledgerTick)
+	request.deadline = request.forget
+	if decoder.Err("routing.handover") != nil || r.ledger.get(key) != nil {
+		return
+	}
+	if request.state == requestAnswered {
+		request.state = requestUnknown
+	}
+	r.counters.HandoverRecords++
+	r.ledger.put(key, request)
+}
+
+func (r *Router) takeFlow(decoder *wire.Decoder) {
+	fingerprint := decoder.Uint64()
+	targetID := decoder.Uint32()
+	to := r.table.targets[targetID]
+	if _, known := r.flows.get(fingerprint); known || to == nil {
+		return
+	}
+	r.counters.HandoverRecords++
+	record := flowRecord{targetID: targetID, lastSeen: lastSeenAt(r.now), flags: flowAnswered}
+	if r.table.view.pairs[PartitionOf(fingerprint)].primary == r.id {
+		r.count(&record, to)
+	}
+	r.flows.put(fingerprint, record)
+}
+
+func (r *Router) takeDone(kind handoverKind, partition int, from uint32) {
+	if partition >= Partitions || !r.table.view.pairs[partition].has(r.id) {
+		return
+	}
+	if kind == handoverRequestsDone {
+		r.coverage.requests[partition] = true
+		return
+	}
+	r.coverage.flows[partition] = true
+	r.coverage.partner[partition] = from
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,133 @@
+package wire
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/beamdoor/beamdoor/internal/steperror"
+)
+
+// FrameKind tells what a frame on a TCP connection holds.
+type FrameKind uint8
+
+// The kinds of frames between control members, and between a control member
+// and a balancer.
+const (
+	// FrameRaft holds a message of the replicated log.
+	FrameRaft FrameKind = iota + 1
+	// FrameReports holds reports that a member passes on to the leader.
+	FrameReports
+	// FrameGrants holds grants that the leader returns through a member.
+	FrameGrants
+	// FrameSignals holds the verdicts on the targets of a cell.
+	FrameSignals
+	// FrameReport holds one report of a balancer.
+	FrameReport
+	// FrameGrant holds one grant for a balancer.
+	FrameGrant
+	// FrameConfig holds a CellConfig in protobuf.
+	FrameConfig
+)
+
+// Frame is one message on a TCP connection.
+type Frame struct {
+	Kind    FrameKind
+	Payload []byte
+}
+
+// frameHeader is the length of kind and payload (4 bytes) and the kind (1 byte).
+const frameHeader = 5
+
+// FrameSize returns the number of bytes of a frame on the connection.
+func FrameSize(frame Frame) int { return frameHeader + len(frame.Payload) }
+
+// AppendFrame appends the bytes of a frame.
+func AppendFrame(buffer []byte, frame Frame) []byte {
+	buffer = binary.BigEndian.AppendUint32(buffer, uint32(len(frame.Payload)+1))
+	buffer = append(buffer, byte(frame.Kind))
+	return append(buffer, frame.Payload...)
+}
+
+// ReadFrame reads the next frame of a connection.
+func ReadFrame(reader io.Reader) (Frame, error) {
+	const step = "wire.read_frame"
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return Frame{}, steperror.Wrap(step, "", err)
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length == 0 || length > MaxBytes {
+		return Frame{}, steperror.New(step, "", "frame length is out of range")
+	}
+	payload := make([]byte, length-1)
+	if _, err := io.ReadFull(reader, payload); err != nil {
+		return Frame{}, steperror.Wrap(step, "", err)
+	}
+	return Frame{Kind: FrameKind(header[frameHeader-1]), Payload: payload}, nil
+}
+
+// ReportFrame returns the frame of one report.
+func ReportFrame(report NodeReport) Frame {
+	var encoder Encoder
+	EncodeNodeReport(&encoder, report)
+	return Frame{Kind: FrameReport, Payload: encoder.Buffer}
+}
+
+// GrantFrame returns the frame of one grant.
+func GrantFrame(grant Grant) Frame {
+	var encoder Encoder
+	EncodeGrant(&encoder, grant)
+	return Frame{Kind: FrameGrant, Payload: encoder.Buffer}
+}
+
+// SignalsFrame returns the frame of the signals of a cell.
+func SignalsFrame(signals Signals) Frame {
+	var encoder Encoder
+	EncodeSignals(&encoder, signals)
+	return Frame{Kind: FrameSignals, Payload: encoder.Buffer}
+}
+
+// ReportsFrame returns the frame of many reports.
+func ReportsFrame(reports []NodeReport) Frame {
+	var encoder Encoder
+	encoder.Uint32(uint32(len(reports)))
+	for _, report := range reports {
+		EncodeNodeReport(&encoder, report)
+	}
+	return Frame{Kind: FrameReports, Payload: encoder.Buffer}
+}
+
+// GrantsFrame returns the frame of many grants.
+func GrantsFrame(grants []Grant) Frame {
+	var encoder Encoder
+	encoder.Uint32(uint32(len(grants)))
+	for _, grant := range grants {
+		EncodeGrant(&encoder, grant)
+	}
+	return Frame{Kind: FrameGrants, Payload: encoder.Buffer}
+}
+
+const (
+	smallestReport = 39
+	grantSize      = 40
+)
+
+// DecodeReports reads the payload of a FrameReports.
+func DecodeReports(payload []byte) ([]NodeReport, error) {
+	decoder := NewDecoder(payload)
+	var reports []NodeReport
+	for count := decoder.Count(smallestReport); count > 0; count-- {
+		reports = append(reports, DecodeNodeReport(decoder))
+	}
+	return reports, decoder.Err("wire.decode_reports")
+}
+
+// DecodeGrants reads the payload of a FrameGrants.
+func DecodeGrants(payload []byte) ([]Grant, error) {
+	decoder := NewDecoder(payload)
+	var grants []Grant
+	for count := decoder.Count(grantSize); count > 0; count-- {
+		grants = append(grants, DecodeGrant(decoder))
+	}
+	return grants, decoder.Err("wire.decode_grants")
+}
--- /dev/null
+++ b/internal/wire/node.go
@@ -0,0 +1,156 @@
+package wire
+
+// NodeReport is the heartbeat of a balancer to the control plane. It renews
+// the lease and confirms the configuration in force.
+type NodeReport struct {
+	// Nonce identifies this run of the process.
+	Nonce uint64
+	// Sequence counts the reports; the grant echoes it.
+	Sequence uint64
+	Applied  uint64
+	View     uint64
+	Cell     uint32
+	// Settled says that the balancer has handed over all that the newest view
+	// took from it and has received all that the view gave to it.
+	Settled bool
+	// Leaving says that the process has been asked to stop.
+	Leaving bool
+	// Introduction is present until the balancer has an ID.
+	Introduction *NodeIntroduction
+}
+
+// NodeIntroduction describes a balancer that is not in a view yet.
+type NodeIntroduction struct {
+	Name  string
+	Zone  string
+	Peer  string
+	Admin string
+}
+
+// EncodeNodeReport appends a report to the encoder.
+func EncodeNodeReport(encoder *Encoder, report NodeReport) {
+	encoder.Uint64(report.Nonce)
+	encoder.Uint64(report.Sequence)
+	encoder.Uint64(report.Applied)
+	encoder.Uint64(report.View)
+	encoder.Uint32(report.Cell)
+	encoder.Bool(report.Settled)
+	encoder.Bool(report.Leaving)
+	encoder.Bool(report.Introduction != nil)
+	if report.Introduction != nil {
+		encoder.String(report.Introduction.Name)
+		encoder.String(report.Introduction.Zone)
+		encoder.String(report.Introduction.Peer)
+		encoder.String(report.Introduction.Admin)
+	}
+}
+
+// DecodeNodeReport reads a report.
+func DecodeNodeReport(decoder *Decoder) NodeReport {
+	report := NodeReport{
+		Nonce:    decoder.Uint64(),
+		Sequence: decoder.Uint64(),
+		Applied:  decoder.Uint64(),
+		View:     decoder.Uint64(),
+		Cell:     decoder.Uint32(),
+		Settled:  decoder.Bool(),
+		Leaving:  decoder.Bool(),
+	}
+	if decoder.Bool() {
+		report.Introduction = &NodeIntroduction{
+			Name:  decoder.String(),
+			Zone:  decoder.String(),
+			Peer:  decoder.String(),
+			Admin: decoder.String(),
+		}
+	}
+	return report
+}
+
+// Grant is the leader's answer to a report.
+type Grant struct {
+	Nonce    uint64
+	Sequence uint64
+	// ID is the balancer's number in the view; 0 while it is in none.
+	ID uint32
+	// LeaseMilliseconds counts from when the balancer sent the report; 0 gives
+	// no lease.
+	LeaseMilliseconds uint32
+	// Revision is the newest revision, and CellRevision the newest that
+	// changed anything in the balancer's cell.
+	Revision     uint64
+	CellRevision uint64
+}
+
+// EncodeGrant appends a grant to the encoder.
+func EncodeGrant(encoder *Encoder, grant Grant) {
+	encoder.Uint64(grant.Nonce)
+	encoder.Uint64(grant.Sequence)
+	encoder.Uint32(grant.ID)
+	encoder.Uint32(grant.LeaseMilliseconds)
+	encoder.Uint64(grant.Revision)
+	encoder.Uint64(grant.CellRevision)
+}
+
+// DecodeGrant reads a grant.
+func DecodeGrant(decoder *Decoder) Grant {
+	return Grant{
+		Nonce:             decoder.Uint64(),
+		Sequence:          decoder.Uint64(),
+		ID:                decoder.Uint32(),
+		LeaseMilliseconds: decoder.Uint32(),
+		Revision:          decoder.Uint64(),
+		CellRevision:      decoder.Uint64(),
+	}
+}
+
+// TargetSignal is the verdict on one target.
+type TargetSignal struct {
+	TargetID uint32
+	// Weight shares new flows; 0 gives the target none.
+	Weight uint8
+	// Alive is false when the control plane holds the target for dead.
+	Alive bool
+}
+
+// Signals are the verdicts on all targets of a cell.
+type Signals struct {
+	// Term and Sequence order the signals: a later leader's come after.
+	Term     uint64
+	Sequence uint64
+	Cell     uint32
+	Targets  []TargetSignal
+}
+
+const signalSize = 6
+
+// EncodeSignals appends signals to the encoder.
+func EncodeSignals(encoder *Encoder, signals Signals) {
+	encoder.Uint64(signals.Term)
+	encoder.Uint64(signals.Sequence)
+	encoder.Uint32(signals.Cell)
+	encoder.Uint32(uint32(len(signals.Targets)))
+	for _, signal := range signals.Targets {
+		encoder.Uint32(signal.TargetID)
+		encoder.Uint8(signal.Weight)
+		encoder.Bool(signal.Alive)
+	}
+}
+
+// DecodeSignals reads signals.
+func DecodeSignals(decoder *Decoder) Signals {
+	signals := Signals{
+		Term:     decoder.Uint64(),
+		Sequence: decoder.Uint64(),
+		Cell:     decoder.Uint32(),
+	}
+	count := decoder.Count(signalSize)
+	for ; count > 0; count-- {
+		signals.Targets = append(signals.Targets, TargetSignal{
+			TargetID: decoder.Uint32(),
+			Weight:   decoder.Uint8(),
+			Alive:    decoder.Bool(),
+		})
+	}
+	return signals
+}
