--- a/internal/coapmsg/coapmsg.go
+++ b/internal/coapmsg/coapmsg.go
@@ -20,7 +20,11 @@
 const DeadlineOption message.OptionID = 65004
 
 // optionRoom is the number of options decoded without an allocation.
-const optionRoom = 16
+const optionRoom = 64
+
+func init() {
+	message.CoapOptionDefs[DeadlineOption] = message.OptionDef{ValueFormat: message.ValueUint, MinLen: 0, MaxLen: 4}
+}
 
 // headerSize is the size of the fixed part of a message in bytes.
 const headerSize = 4
