Views settle: new members keep their first lease, dead ones are not joiners

Cause: a balancer put into the view by a committed change had no lease record yet, so the next tick of the leader expired it; a killed balancer was still in the list of machines and was added back as a joiner; planned changes went on before the handover of the one before had settled. Change: the leader gives each new member of a view a first lease, leaves out joiners that have been silent for half a lease, waits up to 60 s for a view to settle; handed-over request records shrink to 12 bytes; the forgetting time of a request counts from its deadline plus a network lifetime of 2 s; a refused unknown request is logged with its view and partition.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -72,7 +72,7 @@
 		LeaseMargin:     300 * time.Millisecond,
 		LagLimit:        5 * time.Second,
 		FoundingWait:    1500 * time.Millisecond,
-		SettleLimit:     15 * time.Second,
+		SettleLimit:     60 * time.Second,
 		SnapshotEntries: 4096,
 	}
 }
@@ -411,8 +411,8 @@
 		c.tracer.accepted(now, result.Revision)
 	}
 	if change, ok := command.Body.(*beamdoorv1.ViewChange); ok {
-		c.leases.cell(change.Cell).changing = false
 		view := c.store.View(change.Cell)
+		c.leases.noteView(now, view)
 		c.log(eventlog.ViewChanged, "cell", change.Cell, "view", view.Number, "members", len(view.Members), "revision", result.Revision)
 	}
 	c.spreadConfig()
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"sort"
 
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
@@ -137,6 +138,18 @@
 	return nil
 }
 
+// noteView gives each new member of a view the time to ask for its first
+// lease before it is held for silent.
+func (t *leaseTable) noteView(now kernel.Instant, view *beamdoorv1.View) {
+	t.cell(view.Cell).changing = false
+	for _, member := range view.Members {
+		record, known := t.records[member.Nonce]
+		if known && record.expires == 0 {
+			record.expires = now.Add(t.core.settings.Lease)
+		}
+	}
+}
+
 // expiry returns the end of the lease that a member of a view may hold.
 func (t *leaseTable) expiry(member *beamdoorv1.Balancer) kernel.Instant {
 	end := t.floor
@@ -198,7 +211,7 @@
 	view := t.core.store.View(number)
 	change := &beamdoorv1.ViewChange{Cell: number, BaseNumber: view.GetNumber()}
 	if change.Removed = t.expired(now, view); len(change.Removed) > 0 {
-		t.core.log(eventlog.BalancerExpired, "cell", number, "ids", change.Removed)
+		t.core.log(eventlog.BalancerExpired, "cell", number, "ids", fmt.Sprint(change.Removed))
 		return change
 	}
 	if view == nil {
@@ -232,7 +245,7 @@
 	if now.Sub(cell.firstReport) < t.core.settings.FoundingWait {
 		return nil
 	}
-	for _, record := range t.joiners(number) {
+	for _, record := range t.joiners(now, number) {
 		change.Added = append(change.Added, newMember(record))
 	}
 	if len(change.Added) == 0 {
@@ -270,9 +283,9 @@
 		}
 	}
 	if len(view.Members) == 0 {
-		return t.restartChange(view, change)
+		return t.restartChange(now, view, change)
 	}
-	for _, record := range t.joiners(view.Cell) {
+	for _, record := range t.joiners(now, view.Cell) {
 		if !t.addressTaken(view, record) {
 			change.Added = []*beamdoorv1.Balancer{newMember(record)}
 			return change
@@ -282,8 +295,8 @@
 }
 
 // restartChange adds all that report to a view that has lost every member.
-func (t *leaseTable) restartChange(view *beamdoorv1.View, change *beamdoorv1.ViewChange) *beamdoorv1.ViewChange {
-	for _, record := range t.joiners(view.Cell) {
+func (t *leaseTable) restartChange(now kernel.Instant, view *beamdoorv1.View, change *beamdoorv1.ViewChange) *beamdoorv1.ViewChange {
+	for _, record := range t.joiners(now, view.Cell) {
 		change.Added = append(change.Added, newMember(record))
 	}
 	if len(change.Added) == 0 {
@@ -303,14 +316,15 @@
 	return false
 }
 
-// joiners returns the balancers of a cell that report but are in no view, in
-// order of their names.
-func (t *leaseTable) joiners(number uint32) []*leaseRecord {
+// joiners returns the balancers of a cell that still report but are in no
+// view, in order of their names.
+func (t *leaseTable) joiners(now kernel.Instant, number uint32) []*leaseRecord {
 	var list []*leaseRecord
 	view := t.core.store.View(number)
 	for _, record := range t.records {
 		report := record.report
-		if report.Cell != number || report.Introduction == nil || report.Leaving {
+		silent := now.Sub(record.lastSeen) > t.core.settings.Lease/2
+		if report.Cell != number || report.Introduction == nil || report.Leaving || silent {
 			continue
 		}
 		if memberByNonce(view, report.Nonce) == nil {
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -164,15 +164,6 @@
 	p.inputs.Close()
 }
 
-func (p *Process) isStopped() bool {
-	select {
-	case <-p.stopped:
-		return true
-	default:
-		return false
-	}
-}
-
 // runTicker feeds the passing of time to the core.
 func (p *Process) runTicker() {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -43,6 +43,7 @@
 	ViewAdopted        ID = 2020
 	HandoverDone       ID = 2021
 	HistoryUnknown     ID = 2022
+	HandoverPlanned    ID = 2023
 	TargetLost         ID = 2030
 	PacketRefused      ID = 2040
 	ControlLost        ID = 2050
@@ -86,6 +87,7 @@
 	{ViewAdopted, "view_adopted", "new view of the cell in force"},
 	{HandoverDone, "handover_done", "records handed over for the view"},
 	{HistoryUnknown, "history_unknown", "records of earlier requests lost; outcomes are unknown for the retransmission span"},
+	{HandoverPlanned, "handover_planned", "records are to be handed over for the view"},
 	{TargetLost, "target_lost", "target is dead and its flows end"},
 	{PacketRefused, "packet_refused", "packet refused"},
 	{ControlLost, "control_lost", "connection to the control plane lost"},
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -257,6 +257,7 @@
 	start := time.Now()
 	response, err := connection.Post(attempt, "/book", message.TextPlain, bytes.NewReader([]byte(id)), deadlineOption(l.settings.Deadline))
 	if err != nil {
+		l.report.Count("no answer: " + err.Error())
 		l.report.Request(id, report.NoAnswer, time.Since(start))
 		return
 	}
@@ -304,10 +305,13 @@
 	start := time.Now()
 	response, err := connection.Get(attempt, "/document", message.Option{ID: message.URIQuery, Value: []byte(name)})
 	if err != nil {
-		l.report.Download(false, time.Since(start))
+		l.report.Download(err.Error(), time.Since(start))
 		return
 	}
 	body, err := response.ReadBody()
-	whole := err == nil && bytes.Equal(body, target.Document(name))
-	l.report.Download(whole, time.Since(start))
+	problem := ""
+	if err != nil || !bytes.Equal(body, target.Document(name)) {
+		problem = fmt.Sprintf("%v with %d bytes, err %v", response.Code(), len(body), err)
+	}
+	l.report.Download(problem, time.Since(start))
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -56,7 +56,7 @@
 	runs      map[string]int
 	perTarget map[string]int
 	foreign   int
-	halved    int
+	halved    []string
 	wholes    int
 }
 
@@ -104,13 +104,12 @@
 	}
 }
 
-// Download notes a download that ended; whole is false when bytes are wrong
-// or missing.
-func (r *Report) Download(whole bool, taken time.Duration) {
+// Download notes a download that ended, with what was wrong with it or "".
+func (r *Report) Download(problem string, taken time.Duration) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !whole {
-		r.halved++
+	if problem != "" {
+		r.halved = append(r.halved, problem)
 		return
 	}
 	r.wholes++
@@ -182,8 +181,8 @@
 	if r.foreign > 0 {
 		add("no packet to another service", "%d packets", r.foreign)
 	}
-	if r.halved > 0 {
-		add("whole downloads", "%d downloads incomplete", r.halved)
+	for _, problem := range r.halved {
+		add("whole downloads", "%s", problem)
 	}
 	for id, count := range r.runs {
 		if count > 1 {
@@ -244,7 +243,7 @@
 		fmt.Fprintf(aligned, "%s\t%d\n", name, r.counts[name])
 	}
 	fmt.Fprintf(aligned, "requests run by targets\t%d\n", len(r.runs))
-	fmt.Fprintf(aligned, "downloads whole / not\t%d / %d\n", r.wholes, r.halved)
+	fmt.Fprintf(aligned, "downloads whole / not\t%d / %d\n", r.wholes, len(r.halved))
 	fmt.Fprintf(aligned, "busiest target over mean\t%.2f\n", imbalance)
 	writeLatency(aligned, "request", r.latency)
 	writeLatency(aligned, "download", r.download)
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -22,7 +22,13 @@
 
 const (
 	// handoverBatch is the largest number of records in one message.
-	handoverBatch = 32
+	handoverBatch = 64
+	// attemptBits is the place of the attempt below the state of a request.
+	attemptBits = 4
+	// forgetUnit and maxForget are the unit and the largest number of units of
+	// the time until a request is forgotten.
+	forgetUnit = 500 * time.Millisecond
+	maxForget  = 255
 	// handoverDoneBatch is the largest number of partitions in one message.
 	handoverDoneBatch = 256
 	// handoverResend is the time after which a message is sent again.
@@ -83,6 +89,18 @@
 	h.queueDone(partitions, handoverRequestsDone)
 	h.queueFlows(r, owed)
 	h.queueDone(partitions, handoverFlowsDone)
+	for partner, job := range h.jobs {
+		r.log(eventlog.HandoverPlanned, "view", r.ViewNumber(), "partner", partner, "bytes", job.size(), "partitions", len(partitions[partner]))
+	}
+}
+
+// size returns the bytes that a job still has to send.
+func (j *handoverJob) size() int {
+	total := 0
+	for _, message := range j.queue {
+		total += wire.PeerHeaderSize + len(message.payload)
+	}
+	return total
 }
 
 func (h *handover) job(partner uint32) *handoverJob {
@@ -126,13 +144,11 @@
 	encoder.Uint32(uint32(len(keys)))
 	for _, key := range keys {
 		request := r.ledger.records[key]
+		left := max(0, request.forget.Sub(r.now))
 		encoder.Uint64(key)
-		encoder.Uint64(request.flow)
-		encoder.Uint8(uint8(request.state))
-		encoder.Uint8(request.attempt)
-		encoder.Uint32(request.targetID)
-		encoder.Uint32(request.service)
-		encoder.Uint16(uint16(max(0, request.forget.Sub(r.now)) / ledgerTick))
+		encoder.Uint16(uint16(PartitionOf(request.flow)))
+		encoder.Uint8(uint8(request.state)<<attemptBits | request.attempt)
+		encoder.Uint8(uint8(min(left/forgetUnit+1, maxForget)))
 	}
 	return encoder.Buffer
 }
@@ -265,18 +281,19 @@
 
 func (r *Router) takeRequest(decoder *wire.Decoder) {
 	key := decoder.Uint64()
-	request := &requestRecord{
-		flow:     decoder.Uint64(),
-		state:    requestState(decoder.Uint8()),
-		attempt:  decoder.Uint8(),
-		targetID: decoder.Uint32(),
-		service:  decoder.Uint32(),
-	}
-	request.forget = r.now.Add(time.Duration(decoder.Uint16()) * ledgerTick)
-	request.deadline = request.forget
+	partition := decoder.Uint16()
+	status := decoder.Uint8()
+	left := time.Duration(decoder.Uint8()) * forgetUnit
 	if decoder.Err("routing.handover") != nil || r.ledger.get(key) != nil {
 		return
 	}
+	request := &requestRecord{
+		flow:    uint64(partition),
+		state:   requestState(status >> attemptBits),
+		attempt: status & (1<<attemptBits - 1),
+		forget:  r.now.Add(left),
+	}
+	request.deadline = request.forget
 	if request.state == requestAnswered {
 		request.state = requestUnknown
 	}
--- a/internal/routing/primary.go
+++ b/internal/routing/primary.go
@@ -6,6 +6,7 @@
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 
 	"github.com/beamdoor/beamdoor/internal/coapmsg"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
@@ -256,12 +257,16 @@
 	return request
 }
 
+// networkLifetime is how long a packet can stay in the network after its last
+// transmission.
+const networkLifetime = 2 * time.Second
+
 func (r *Router) newRequest(work *job) *requestRecord {
 	deadline := work.service.limits.deadline
 	if asked := r.parser.DeadlineMilliseconds(); asked > 0 {
 		deadline = min(deadline, time.Duration(asked)*time.Millisecond)
 	}
-	forget := max(deadline, work.service.limits.retransmitSpan) + work.service.limits.retransmitSpan
+	forget := max(deadline, work.service.limits.retransmitSpan) + networkLifetime
 	return &requestRecord{
 		state:    requestForwarded,
 		started:  r.now,
@@ -286,6 +291,7 @@
 func (r *Router) answerUnknown(work *job) {
 	r.counters.UnknownOutcome++
 	r.counters.HistoryUnknown++
+	r.log(eventlog.HistoryUnknown, "view", r.ViewNumber(), "partition", work.partition, "caller", work.caller)
 	request := r.newRequest(work)
 	request.state = requestUnknown
 	r.ledger.put(work.requestKey, request)
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -28,7 +28,9 @@
 	started  kernel.Instant
 	deadline kernel.Instant
 	// forget is when no retransmission can arrive any more.
-	forget   kernel.Instant
+	forget kernel.Instant
+	// flow is the fingerprint of the flow; of a record that was handed over it
+	// is only the partition.
 	flow     uint64
 	targetID uint32
 	service  uint32
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,6 +7,7 @@
 RUN=run/demo
 . scripts/fleet.sh
 trap stop_fleet EXIT
+trap "exit 1" TERM INT
 
 say "starting 3 control members, $BALANCERS balancers, $((BOOKING_TARGETS + DOCUMENT_TARGETS)) targets"
 start_fleet
@@ -30,7 +31,7 @@
   end "balancer-$i" TERM
   await "balancer-$i"
   start_balancer "$i"
-  admin join "quito-b$i" --timeout 20s
+  admin join "quito-b$i" --timeout 30s
 done
 
 say "status"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -19,7 +19,7 @@
 start() {
   local name=$1
   shift
-  "$@" >"$RUN/$name.out" 2>"$RUN/$name.log" &
+  "$@" >>"$RUN/$name.out" 2>>"$RUN/$name.log" &
   PIDS[$name]=$!
 }
 
@@ -31,6 +31,7 @@
 
 stop_fleet() {
   local name
+  jobs >/dev/null
   for name in "${!PIDS[@]}"; do end "$name" KILL; done
   wait 2>/dev/null || true
 }
