--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -14,7 +14,6 @@
 	"github.com/beamdoor/beamdoor/internal/config"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/kernel"
-	"github.com/beamdoor/beamdoor/internal/policy"
 	"github.com/beamdoor/beamdoor/internal/raft"
 	"github.com/beamdoor/beamdoor/internal/steperror"
 	"github.com/beamdoor/beamdoor/internal/store"
@@ -307,27 +306,6 @@
 	return connect.NewResponse(response), nil
 }
 
-// programs returns the compiled policies of a service; ok is false when a
-// program cannot be had.
-func programs(state *store.Store, service *beamdoorv1.Service) (sharing, health *policy.Program, err error) {
-	if sharing, err = program(state, service.SharingPolicy); err != nil {
-		return nil, nil, err
-	}
-	health, err = program(state, service.HealthPolicy)
-	return sharing, health, err
-}
-
-func program(state *store.Store, name string) (*policy.Program, error) {
-	if stored := state.Policy(name); stored != nil {
-		return policy.Compile(name, stored.Source)
-	}
-	source, err := policy.Builtin(name)
-	if err != nil {
-		return nil, err
-	}
-	return policy.Compile(name, source)
-}
-
 // snapshotServices returns copies of all services, for use outside the
 // goroutine that owns the core.
 func snapshotServices(state *store.Store) []*beamdoorv1.Service {
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -20,8 +20,8 @@
 	"github.com/plgd-dev/go-coap/v3/udp/client"
 
 	"github.com/beamdoor/beamdoor/internal/coapmsg"
+	"github.com/beamdoor/beamdoor/internal/lab/backend"
 	"github.com/beamdoor/beamdoor/internal/lab/report"
-	"github.com/beamdoor/beamdoor/internal/lab/target"
 )
 
 // Settings describe the load.
@@ -45,7 +45,7 @@
 
 const (
 	acknowledgeTimeout = time.Second
-	maxRetransmit      = 5
+	maxRetransmit      = 3
 	parallelRequests   = 16
 	requestGrace       = 15 * time.Second
 )
@@ -310,7 +310,7 @@
 	}
 	body, err := response.ReadBody()
 	problem := ""
-	if err != nil || !bytes.Equal(body, target.Document(name)) {
+	if err != nil || !bytes.Equal(body, backend.Document(name)) {
 		problem = fmt.Sprintf("%v with %d bytes, err %v", response.Code(), len(body), err)
 	}
 	l.report.Download(problem, time.Since(start))
--- a/internal/lab/labcli/root.go
+++ b/internal/lab/labcli/root.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(fabricCommand(), faultsCommand(), targetCommand(), platformCommand(), callerCommand())
+	root.AddCommand(fabricCommand(), faultsCommand(), targetCommand(), platformCommand(), callerCommand(), simCommand())
 	return root
 }
 
@@ -107,19 +107,19 @@
 		},
 	}
 	flags := command.Flags()
-	flags.StringVar(&settings.Name, "name", "target", "name")
+	flags.StringVar(&settings.Backend.Name, "name", "target", "name")
 	flags.StringVar(&settings.Listen, "listen", "", "UDP address")
 	flags.StringVar(&settings.Admin, "admin", "", "HTTP address of health, load and drain")
 	flags.StringVar(&settings.Return, "return", "127.0.0.1:6001", "UDP address of the fabric for answers")
 	flags.StringVar(&settings.Service, "service", "", "virtual address of its service")
 	flags.StringVar(&settings.Journal, "journal", "", "file that records what ran")
-	flags.IntVar(&settings.Slots, "slots", 2, "requests that run at once")
-	flags.IntVar(&settings.Queue, "queue", 64, "requests that wait before it sheds load")
-	flags.DurationVar(&settings.ServiceTime, "service-time", 20*time.Millisecond, "mean time of a request")
-	flags.DurationVar(&settings.Notify, "notify", time.Second, "time between notifications")
-	flags.DurationVar(&settings.ColdStart, "cold-start", 0, "time after the start in which requests take longer")
-	flags.BoolVar(&settings.DetectDuplicates, "detect-duplicates", false, "do not run a repeated request again")
-	flags.Uint64Var(&settings.Seed, "seed", 1, "seed of the service times")
+	flags.IntVar(&settings.Backend.Slots, "slots", 2, "requests that run at once")
+	flags.IntVar(&settings.Backend.Queue, "queue", 64, "requests that wait before it sheds load")
+	flags.DurationVar(&settings.Backend.ServiceTime, "service-time", 20*time.Millisecond, "mean time of a request")
+	flags.DurationVar(&settings.Backend.Notify, "notify", time.Second, "time between notifications")
+	flags.DurationVar(&settings.Backend.ColdStart, "cold-start", 0, "time after the start in which requests take longer")
+	flags.BoolVar(&settings.Backend.DetectDuplicates, "detect-duplicates", false, "do not run a repeated request again")
+	flags.Uint64Var(&settings.Backend.Seed, "seed", 1, "seed of the service times")
 	return command
 }
 
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"sort"
@@ -167,6 +168,20 @@
 	return scanner.Err()
 }
 
+// Counts returns a copy of the named counts.
+func (r *Report) Counts() map[string]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return maps.Clone(r.counts)
+}
+
+// Flows returns the number of flows that were to stay open, and how many broke.
+func (r *Report) Flows() (opened, broken int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.flows, len(r.broken)
+}
+
 // Violations returns the broken rules.
 func (r *Report) Violations() []Violation {
 	r.mutex.Lock()
--- /dev/null
+++ b/internal/lab/sim/oracle.go
@@ -0,0 +1,176 @@
+package sim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/store"
+)
+
+// The rules that this package checks besides those of the report.
+const (
+	RuleNoRevert    = "accepted never reverts"
+	RuleOneWinner   = "one winner for a base revision"
+	RuleOnce        = "a resent write is made once"
+	RuleInForce     = "in force within seconds"
+	RuleDrained     = "a leaving target gets no new work"
+	RuleHearOfDeath = "callers hear of a target's death"
+	RuleRecovers    = "the system recovers"
+	RuleProgress    = "work gets done"
+)
+
+const (
+	// drainLimit is the time from an accepted drain until no new flow may
+	// reach the target.
+	drainLimit = 3 * time.Second
+	// inForceLimit is the time until an accepted configuration must be in
+	// force on every balancer that gives new work.
+	inForceLimit = 14 * time.Second
+)
+
+// watchWrites notes when each accepted write is in force, ten times a second.
+func (w *World) watchWrites() {
+	w.clock.After(100*time.Millisecond, w.watchWrites)
+	oldest := w.oldestRevision()
+	now := w.clock.Now()
+	for _, current := range w.operators.writes {
+		if !current.accepted() || current.inForceAt != 0 {
+			continue
+		}
+		if oldest >= current.result.Revision {
+			current.inForceAt = now
+			if current.onInForce != nil {
+				current.onInForce()
+			}
+			continue
+		}
+		if now.Sub(current.finished) > inForceLimit {
+			current.inForceAt = now
+			w.violate(RuleInForce, "%q, revision %d, is not in force after %s", current.summary, current.result.Revision, inForceLimit)
+		}
+	}
+}
+
+// oldestRevision returns the oldest revision on a balancer that may give new
+// work by itself.
+func (w *World) oldestRevision() uint64 {
+	oldest := ^uint64(0)
+	for _, b := range w.balancers {
+		if b.up && !b.frozen && b.router.InView() && b.router.HasLease(b.now()) {
+			oldest = min(oldest, b.router.Revision())
+		}
+	}
+	return oldest
+}
+
+// judge checks the rules at the end of a run.
+func (w *World) judge() {
+	leader := w.leader()
+	if leader == nil {
+		w.violate(RuleRecovers, "no control member leads at the end")
+		return
+	}
+	w.judgeWrites(leader.core.Store())
+	for _, b := range w.balancers {
+		if b.up && !b.frozen && !b.leaving && !b.router.InView() {
+			w.violate(RuleRecovers, "%s is in no view at the end", b.name)
+		}
+	}
+	if err := w.report.CheckProgress(w.plan.MostUnfinished); err != nil {
+		w.violate(RuleProgress, "%v", err)
+	}
+}
+
+func (w *World) judgeWrites(state *store.Store) {
+	made := map[string]int{}
+	revisions := map[string]uint64{}
+	for _, entry := range state.History(store.HistoryLimit) {
+		made[entry.Summary]++
+		made[entry.Author]++
+		revisions[entry.Summary] = entry.Revision
+		revisions[entry.Author] = entry.Revision
+	}
+	winners := map[uint64]*write{}
+	for _, current := range w.operators.writes {
+		times := made[current.summary]
+		switch {
+		case current.accepted() && (times == 0 || revisions[current.summary] != current.result.Revision):
+			w.violate(RuleNoRevert, "%q was accepted as revision %d and is not in the history", current.summary, current.result.Revision)
+		case times > 1:
+			w.violate(RuleOnce, "%q was made %d times", current.summary, times)
+		}
+		if !current.accepted() || current.kind != store.CommandApply {
+			continue
+		}
+		if earlier := winners[current.base]; earlier != nil {
+			w.violate(RuleOneWinner, "%q and %q both won on base %d", earlier.summary, current.summary, current.base)
+		}
+		winners[current.base] = current
+	}
+}
+
+// slowestInForce returns the longest time an accepted write took to be in
+// force, counted from its answer.
+func (w *World) slowestInForce() time.Duration {
+	var slowest time.Duration
+	for _, current := range w.operators.writes {
+		if current.inForceAt > 0 {
+			slowest = max(slowest, current.inForceAt.Sub(current.finished))
+		}
+	}
+	return slowest
+}
+
+// controlRate returns the largest number of control bytes a second that a
+// balancer sent and received.
+func (w *World) controlRate() float64 {
+	largest := 0.0
+	for _, b := range w.balancers {
+		bytes := float64(b.spent + b.received)
+		running := b.running
+		if b.up {
+			bytes += float64(b.router.Counters().ControlBytes)
+			running += w.clock.Now().Sub(b.startedAt)
+		}
+		if running > 0 {
+			largest = max(largest, bytes/running.Seconds())
+		}
+	}
+	return largest
+}
+
+// Operation is a read or a write of the newest operator's write, for a check
+// of linearizability.
+type Operation struct {
+	Write    bool
+	Value    string
+	Start    kernel.Instant
+	End      kernel.Instant
+	Answered bool
+}
+
+// Operations returns the history of reads and writes.
+func (w *World) operations() []Operation {
+	var list []Operation
+	for _, current := range w.operators.writes {
+		if current.answered && !current.accepted() {
+			continue
+		}
+		list = append(list, Operation{
+			Write:    true,
+			Value:    current.summary,
+			Start:    current.started,
+			End:      current.finished,
+			Answered: current.answered,
+		})
+	}
+	for _, current := range w.operators.reads {
+		list = append(list, Operation{Value: current.newest, Start: current.started, End: current.finished, Answered: true})
+	}
+	return list
+}
+
+func (r Result) String() string {
+	return fmt.Sprintf("%s seed %d", r.Scenario, r.Seed)
+}
--- a/internal/routing/membership.go
+++ b/internal/routing/membership.go
@@ -53,10 +53,10 @@
 	r.counters.ControlBytes += uint64(wire.FrameSize(wire.ReportFrame(action.Report)))
 }
 
-// settled reports whether all records of the newest view are where they belong.
-func (r *Router) settled() bool {
-	return r.id == 0 || r.coverage.complete() && r.handover.idle()
-}
+// settled reports whether this balancer has handed over all records that the
+// newest view took from it. What it lacks itself it does not wait for: either
+// its partner is not settled yet, or nobody holds the records any more.
+func (r *Router) settled() bool { return r.id == 0 || r.handover.idle() }
 
 // HandleGrant handles the leader's answer to a report. The lease counts from
 // when the report was sent, on this process's own clock.
