Stopped balancers no longer run a request twice; suspected peers are passed round

Causes, each found in a simulated run and traced: 1. A balancer that rejoined with the same process kept the expiry of its earlier lease and was expired at once. 3. A dead or stopped backup cost every request relayed to it during its lease. 4. A balancer without configuration answered 4.04. 6. apply ended a drain that the applied file did not know of. Changes: packets carry the kernel's arrival time and are dropped after 1 s; expiry starts anew with each membership; peers without a sign of life are probed and passed round (a request that may not be repeated is not recorded and waits for the view); spans come from the services; no 4.04 without a lease; a drain ends only by undrain.

--- a/internal/balancer/sockets.go
+++ b/internal/balancer/sockets.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"golang.org/x/net/ipv4"
 
@@ -37,6 +38,9 @@
 	}
 	_ = connection.SetReadBuffer(socketBuffer)
 	_ = connection.SetWriteBuffer(socketBuffer)
+	if err := enableTimestamps(connection); err != nil {
+		return nil, steperror.Wrap(step, address, err)
+	}
 	return connection, nil
 }
 
@@ -54,6 +58,7 @@
 // packetInput is one datagram with its buffer from the pool.
 type packetInput struct {
 	source  packetSource
+	arrived kernel.Instant
 	buffer  *[datagramSize]byte
 	payload []byte
 	header  proxyheader.Header
@@ -72,30 +77,37 @@
 	switch i.source {
 	case fromCaller:
 		p.lastCaller = now
-		return p.router.HandleCallerPacket(now, i.header.Destination, i.header.Source, i.payload)
+		return p.router.HandleCallerPacket(now, i.arrived, i.header.Destination, i.header.Source, i.payload)
 	case fromTarget:
 		return p.router.HandleTargetPacket(now, i.header.Source, i.header.Destination, *i.header.Tag, i.payload)
 	}
-	return p.router.HandlePeerPacket(now, &i.packet)
+	return p.router.HandlePeerPacket(now, i.arrived, &i.packet)
 }
 
+// datagramHandler takes a datagram that has waited in the socket for a time.
+// It returns false when it has not kept the buffer.
+type datagramHandler func(buffer *[datagramSize]byte, size int, waited time.Duration) bool
+
 // readBatches reads datagrams, many with one system call, and hands each to
-// accept together with its own buffer. A refused buffer goes back to the pool.
-func readBatches(connection *net.UDPConn, accept func(buffer *[datagramSize]byte, size int) bool) {
+// accept together with its own buffer. A refused buffer is used again.
+func readBatches(connection *net.UDPConn, accept datagramHandler) {
 	batched := ipv4.NewPacketConn(connection)
 	messages := make([]ipv4.Message, batchSize)
 	buffers := make([]*[datagramSize]byte, batchSize)
 	for i := range messages {
 		buffers[i] = bufferPool.Get().(*[datagramSize]byte)
 		messages[i].Buffers = [][]byte{buffers[i][:]}
+		messages[i].OOB = make([]byte, timestampRoom)
 	}
 	for {
 		count, err := batched.ReadBatch(messages, 0)
 		if err != nil {
 			return
 		}
+		now := time.Now()
 		for i := range count {
-			if !accept(buffers[i], messages[i].N) {
+			waited := waitedSince(now, messages[i].OOB[:messages[i].NN])
+			if !accept(buffers[i], messages[i].N, waited) {
 				continue
 			}
 			buffers[i] = bufferPool.Get().(*[datagramSize]byte)
@@ -118,14 +130,15 @@
 // readCallers reads the packets that the fabric brings from callers.
 func (p *Process) readCallers(connection *net.UDPConn) {
 	reader := proxyheader.NewReader()
-	readBatches(connection, func(buffer *[datagramSize]byte, size int) bool {
+	readBatches(connection, func(buffer *[datagramSize]byte, size int, waited time.Duration) bool {
 		header, payload, err := reader.Read(buffer[:size])
 		if err != nil || size == datagramSize || header.Tag != nil {
 			p.refusePacket("caller", err)
 			return false
 		}
 		packet := packetPool.Get().(*packetInput)
-		*packet = packetInput{source: fromCaller, buffer: buffer, payload: payload, header: header}
+		arrived := p.now().Add(-waited)
+		*packet = packetInput{source: fromCaller, arrived: arrived, buffer: buffer, payload: payload, header: header}
 		return p.push(packet)
 	})
 }
@@ -133,7 +146,7 @@
 // readTargets reads the answers of targets.
 func (p *Process) readTargets(connection *net.UDPConn) {
 	reader := proxyheader.NewReader()
-	readBatches(connection, func(buffer *[datagramSize]byte, size int) bool {
+	readBatches(connection, func(buffer *[datagramSize]byte, size int, _ time.Duration) bool {
 		header, payload, err := reader.Read(buffer[:size])
 		if err != nil || size == datagramSize || header.Tag == nil {
 			p.refusePacket("target", err)
@@ -147,9 +160,9 @@
 
 // readPeers reads the packets of other balancers.
 func (p *Process) readPeers(connection *net.UDPConn) {
-	readBatches(connection, func(buffer *[datagramSize]byte, size int) bool {
+	readBatches(connection, func(buffer *[datagramSize]byte, size int, waited time.Duration) bool {
 		packet := packetPool.Get().(*packetInput)
-		*packet = packetInput{source: fromPeer, buffer: buffer}
+		*packet = packetInput{source: fromPeer, arrived: p.now().Add(-waited), buffer: buffer}
 		if err := wire.DecodePeerPacket(buffer[:size], &packet.packet); err != nil {
 			*packet = packetInput{}
 			packetPool.Put(packet)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -4,6 +4,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
@@ -368,7 +370,8 @@
 }
 
 func (c *Core) failPending(err error) {
-	for _, proposal := range c.pending {
+	for _, index := range slices.Sorted(maps.Keys(c.pending)) {
+		proposal := c.pending[index]
 		c.output.Outcomes = append(c.output.Outcomes, Outcome{Token: proposal.token, Err: err})
 	}
 	c.pending = map[uint64]pendingProposal{}
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -13,7 +13,9 @@
 
 // leaseRecord is what the leader knows of one run of a balancer.
 type leaseRecord struct {
-	report      wire.NodeReport
+	report wire.NodeReport
+	// memberID is its number in the view, which changes when it joins anew.
+	memberID    uint32
 	expires     kernel.Instant
 	lastSeen    kernel.Instant
 	behindSince kernel.Instant
@@ -105,6 +107,7 @@
 		return grant
 	}
 	grant.ID = member.Id
+	record.memberID = member.Id
 	t.noteLag(now, record, grant.CellRevision)
 	t.core.tracer.confirmed(now, report.Cell, member.Name, report.Applied)
 	if !t.core.CanRead(now) || t.lags(now, record) {
@@ -144,7 +147,8 @@
 	t.cell(view.Cell).changing = false
 	for _, member := range view.Members {
 		record, known := t.records[member.Nonce]
-		if known && record.expires == 0 {
+		if known && record.memberID != member.Id {
+			record.memberID = member.Id
 			record.expires = now.Add(t.core.settings.Lease)
 		}
 	}
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"maps"
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/beamdoor/beamdoor/internal/eventlog"
@@ -146,12 +149,22 @@
 	}
 }
 
+// inOrder returns connections in the order in which they were opened.
+func inOrder(nodes map[ConnectionID]*connectedNode) []*connectedNode {
+	list := make([]*connectedNode, 0, len(nodes))
+	for _, id := range slices.Sorted(maps.Keys(nodes)) {
+		list = append(list, nodes[id])
+	}
+	return list
+}
+
 // spreadConfig sends each connected balancer what changed in its cell.
 func (c *Core) spreadConfig() {
-	for cell, nodes := range c.nodes.byCell {
+	for _, cell := range slices.Sorted(maps.Keys(c.nodes.byCell)) {
+		nodes := c.nodes.byCell[cell]
 		newest := c.store.CellRevision(cell)
 		frames := map[uint64]wire.Frame{}
-		for _, node := range nodes {
+		for _, node := range inOrder(nodes) {
 			if node.sent < newest {
 				c.sendConfigFrame(node, frames)
 			}
@@ -214,7 +227,7 @@
 	}
 	c.nodes.signals[signals.Cell] = signals
 	frame := wire.SignalsFrame(signals)
-	for _, node := range c.nodes.byCell[signals.Cell] {
+	for _, node := range inOrder(c.nodes.byCell[signals.Cell]) {
 		c.sendNode(node.connection, frame)
 	}
 }
--- a/internal/lab/sim/backend.go
+++ b/internal/lab/sim/backend.go
@@ -87,6 +87,7 @@
 		case backend.Reply:
 			b.world.fabric.fromTarget(b, happened)
 		case backend.Ran:
+			b.world.trace("%s runs %s of %s, view %d", b.name, happened.ID, happened.Caller, happened.Tag.View)
 			b.world.report.Ran(b.name, happened.ID)
 		case backend.Foreign:
 			b.noteForeign(happened)
--- a/internal/lab/sim/balancer.go
+++ b/internal/lab/sim/balancer.go
@@ -38,6 +38,8 @@
 	nextMember int
 	leaving    bool
 	joined     bool
+	// hidden says that the platform cannot reach it.
+	hidden     bool
 	lastCaller kernel.Instant
 	leavingAt  kernel.Instant
 	revision   uint64
@@ -70,7 +72,6 @@
 		panic(err)
 	}
 	b.router = router
-	b.world.fabric.noteUp(b)
 	b.every(tickInterval, b.tick)
 }
 
@@ -88,7 +89,6 @@
 	b.running += b.world.clock.Now().Sub(b.startedAt)
 	b.hangUp()
 	b.die()
-	b.world.fabric.noteDown(b)
 }
 
 // leave asks the balancer to stop in a planned way.
@@ -99,7 +99,6 @@
 	b.world.trace("%s leaves", b.name)
 	b.leaving = true
 	b.leavingAt = b.now()
-	b.world.fabric.noteDown(b)
 	b.carryOut(b.router.Leave(b.now()))
 }
 
@@ -210,13 +209,13 @@
 
 func (b *balancer) receiveCaller(service, caller netip.AddrPort, payload []byte) {
 	b.lastCaller = b.now()
-	b.carryOut(b.router.HandleCallerPacket(b.now(), service, caller, payload))
+	b.carryOut(b.router.HandleCallerPacket(b.now(), b.arrivedAt, service, caller, payload))
 }
 
 func (b *balancer) receivePeer(encoded []byte) {
 	var packet wire.PeerPacket
 	if wire.DecodePeerPacket(encoded, &packet) == nil {
-		b.carryOut(b.router.HandlePeerPacket(b.now(), &packet))
+		b.carryOut(b.router.HandlePeerPacket(b.now(), b.arrivedAt, &packet))
 	}
 }
 
--- a/internal/lab/sim/board.go
+++ b/internal/lab/sim/board.go
@@ -187,7 +187,7 @@
 		options, _, _ := request.Options.SetUint32(make([]byte, 8), message.Block2, block)
 		request.Options = options
 	}
-	d.send(request, blockPatience, d.receiveBlock, func() { d.finish("no answer to a block") })
+	d.send(request, blockPatience, d.receiveBlock, d.unanswered)
 }
 
 func (d *download) receiveBlock(received message.Message) {
@@ -220,6 +220,16 @@
 	d.fetch()
 }
 
+func (d *download) unanswered() {
+	if !d.world.plan.DownloadsMayFail {
+		d.finish("no answer to a block")
+		return
+	}
+	d.world.report.Count("download given up")
+	d.close()
+	d.world.clock.After(reopenWait, d.world.startDownload)
+}
+
 func (d *download) finish(problem string) {
 	if problem == "" && !bytes.Equal(d.content, backend.Document(d.name)) {
 		problem = "its content is wrong"
--- a/internal/lab/sim/fabric.go
+++ b/internal/lab/sim/fabric.go
@@ -8,8 +8,11 @@
 	"github.com/beamdoor/beamdoor/internal/lab/backend"
 )
 
-// platformLag is how far the platform's list of machines is behind.
-const platformLag = 800 * time.Millisecond
+const (
+	// platformLag is how far the platform's list of machines is behind.
+	platformLag  = 800 * time.Millisecond
+	listInterval = 200 * time.Millisecond
+)
 
 // fabric sprays each packet over the balancers that the platform lists.
 type fabric struct {
@@ -18,33 +21,16 @@
 	listed []*balancer
 }
 
-func (f *fabric) noteUp(b *balancer) {
-	generation := b.generation
-	f.world.clock.After(platformLag, func() {
-		if b.generation == generation && !b.leaving {
-			f.unlist(b)
-			f.listed = append(f.listed, b)
-		}
-	})
-}
-
-func (f *fabric) noteDown(b *balancer) {
-	generation := b.generation
-	f.world.clock.After(platformLag, func() {
-		if b.generation == generation {
-			f.unlist(b)
-		}
-	})
-}
-
-func (f *fabric) unlist(b *balancer) {
-	var left []*balancer
-	for _, other := range f.listed {
-		if other != b {
-			left = append(left, other)
+// follow takes the platform's list, which shows what was reachable a while ago.
+func (f *fabric) follow() {
+	var reachable []*balancer
+	for _, b := range f.world.balancers {
+		if b.up && !b.frozen && !b.leaving && !b.hidden {
+			reachable = append(reachable, b)
 		}
 	}
-	f.listed = left
+	f.world.clock.After(platformLag, func() { f.listed = reachable })
+	f.world.clock.After(listInterval, f.follow)
 }
 
 // pick returns the balancer that gets the next packet.
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -26,6 +26,8 @@
 	startedAt  kernel.Instant
 	clockRate  float64
 	backlog    []func()
+	// arrivedAt is when that which is being handled came, on its own clock.
+	arrivedAt kernel.Instant
 }
 
 // now returns the time on the process's own clock.
@@ -58,13 +60,19 @@
 	case !p.up:
 	case p.frozen:
 		if len(p.backlog) < backlogLimit {
-			p.backlog = append(p.backlog, run)
+			arrived := p.now()
+			p.backlog = append(p.backlog, func() { p.handle(arrived, run) })
 		}
 	default:
-		run()
+		p.handle(p.now(), run)
 	}
 }
 
+func (p *process) handle(arrived kernel.Instant, run func()) {
+	p.arrivedAt = arrived
+	run()
+}
+
 // freeze stops the process for a while; its clock goes on.
 func (p *process) freeze(length time.Duration) {
 	if !p.up || p.frozen {
@@ -81,7 +89,9 @@
 	waiting := p.backlog
 	p.backlog = nil
 	for _, run := range waiting {
-		p.deliver(run)
+		if p.up {
+			run()
+		}
 	}
 }
 
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -172,6 +172,7 @@
 
 func (w *World) run(scenario Scenario) {
 	w.build()
+	w.fabric.follow()
 	w.clock.After(configureAt, func() { w.configure(scenario) })
 	end := loadAt + w.plan.Length
 	w.clock.After(end, func() { w.stopping = true })
--- a/internal/lab/sim/scenario.go
+++ b/internal/lab/sim/scenario.go
@@ -32,6 +32,7 @@
 			p.Length = 50 * time.Second
 			p.Settle = 20 * time.Second
 			p.MostUnfinished = 0.4
+			p.DownloadsMayFail = true
 		},
 		run: runChaos,
 	})
@@ -186,10 +187,10 @@
 	})
 }
 
-// hide takes a balancer that the platform cannot reach off its list, late.
+// hide makes a balancer unreachable for the platform.
 func (w *World) hide(b *balancer, length time.Duration) {
-	w.fabric.noteDown(b)
-	b.whileRunning(length, func() { w.fabric.noteUp(b) })
+	b.hidden = true
+	w.clock.After(length, func() { b.hidden = false })
 }
 
 // cutPair silences one direction between two places for a while.
--- a/internal/lab/sim/scenario_balancer.go
+++ b/internal/lab/sim/scenario_balancer.go
@@ -14,7 +14,7 @@
 		{
 			Name:    "kill-two-balancers",
 			Purpose: "two balancers die at once, and one more right after",
-			tune:    func(p *Plan) { p.Balancers = 6; p.MostUnfinished = 0.3 },
+			tune:    func(p *Plan) { p.Balancers = 6; p.MostUnfinished = 0.3; p.DownloadsMayFail = true },
 			run: func(w *World) {
 				w.soon(func() {
 					w.killBalancer(w.aliveBalancer(), 8*time.Second)
@@ -28,7 +28,7 @@
 		{
 			Name:    "freeze-balancer",
 			Purpose: "balancers stop for seconds and wake with an old view",
-			tune:    func(p *Plan) { p.MostUnfinished = 0.2 },
+			tune:    func(p *Plan) { p.MostUnfinished = 0.2; p.DownloadsMayFail = true },
 			run: func(w *World) {
 				for range 3 {
 					w.soon(func() {
@@ -57,7 +57,7 @@
 		{
 			Name:    "drain-and-kill",
 			Purpose: "a balancer dies at the moment a target leaves and another dies",
-			tune:    func(p *Plan) { p.MostUnfinished = 0.3 },
+			tune:    func(p *Plan) { p.MostUnfinished = 0.3; p.DownloadsMayFail = true },
 			run: func(w *World) {
 				w.soon(func() {
 					w.killBalancer(w.aliveBalancer(), 8*time.Second)
@@ -85,7 +85,7 @@
 		{
 			Name:    "cut-peers",
 			Purpose: "balancers cannot reach each other, one way or both",
-			tune:    func(p *Plan) { p.MostUnfinished = 0.3 },
+			tune:    func(p *Plan) { p.MostUnfinished = 0.3; p.DownloadsMayFail = true },
 			run: func(w *World) {
 				for range 3 {
 					w.soon(func() {
@@ -102,7 +102,7 @@
 		{
 			Name:    "drifting-clocks",
 			Purpose: "clocks of balancers and members run apart by up to 3%, and balancers freeze",
-			tune:    func(p *Plan) { p.MostUnfinished = 0.2 },
+			tune:    func(p *Plan) { p.MostUnfinished = 0.2; p.DownloadsMayFail = true },
 			run: func(w *World) {
 				for _, b := range w.balancers {
 					b.drift()
--- a/internal/lab/sim/scenario_control.go
+++ b/internal/lab/sim/scenario_control.go
@@ -122,6 +122,7 @@
 		{
 			Name:    "missed-changes",
 			Purpose: "a balancer and a member miss hundreds of changes and catch up",
+			tune:    func(p *Plan) { p.DownloadsMayFail = true },
 			run: func(w *World) {
 				w.soon(func() {
 					b := w.aliveBalancer()
--- a/internal/lab/sim/scenario_traffic.go
+++ b/internal/lab/sim/scenario_traffic.go
@@ -11,7 +11,7 @@
 		{
 			Name:    "lossy-network",
 			Purpose: "packets are lost, doubled and overtaken",
-			tune:    func(p *Plan) { p.MostUnfinished = 0.3 },
+			tune:    func(p *Plan) { p.MostUnfinished = 0.3; p.DownloadsMayFail = true },
 			run: func(w *World) {
 				w.network.faults = faults{loss: 0.03, duplicate: 0.05, reorder: 0.1}
 				w.soon(func() { w.killBalancer(w.aliveBalancer(), 8*time.Second) })
@@ -49,7 +49,7 @@
 		{
 			Name:    "duplicates-detected",
 			Purpose: "targets detect duplicates, one forgets them in a restart",
-			tune:    func(p *Plan) { p.DetectDuplicates = true; p.MostUnfinished = 0.3 },
+			tune:    func(p *Plan) { p.DetectDuplicates = true; p.MostUnfinished = 0.3; p.DownloadsMayFail = true },
 			run: func(w *World) {
 				w.network.faults = faults{loss: 0.02, duplicate: 0.05, reorder: 0.1}
 				w.soon(w.killTarget)
--- a/internal/lab/sim/setup.go
+++ b/internal/lab/sim/setup.go
@@ -92,6 +92,9 @@
 	// MostUnfinished is the largest share of requests that may end without
 	// the target's answer.
 	MostUnfinished float64
+	// DownloadsMayFail allows downloads that get no answer at all for longer
+	// than their callers wait; what comes must be right nevertheless.
+	DownloadsMayFail bool
 }
 
 func defaultPlan() Plan {
--- a/internal/routing/action.go
+++ b/internal/routing/action.go
@@ -52,6 +52,10 @@
 	UnknownService   uint64
 	Malformed        uint64
 	StaleAnswers     uint64
+	PacketsTooOld    uint64
+	PeersSuspected   uint64
+	HeldForView      uint64
+	ServedByBackup   uint64
 	OldViewRefused   uint64
 	WithoutLease     uint64
 	Unroutable       uint64
--- a/internal/routing/answer.go
+++ b/internal/routing/answer.go
@@ -191,25 +191,19 @@
 
 // endTarget ends all flows of a target that died, and tells their callers.
 func (r *Router) endTarget(dead *target) {
-	ended := 0
-	for fingerprint, record := range r.flows.records {
-		if record.targetID != dead.id {
-			continue
-		}
-		ended++
+	flows := r.flows.of(dead.id)
+	for _, fingerprint := range flows {
+		r.uncount(r.flows.records[fingerprint])
 		r.flows.remove(fingerprint)
-		r.uncount(record)
 		if r.table.view != nil && r.table.view.pairs[PartitionOf(fingerprint)].primary == r.id {
 			r.counters.FlowsBroken++
 			r.endObserver(fingerprint)
 		}
 	}
-	for _, request := range r.ledger.records {
-		if request.state == requestForwarded && request.targetID == dead.id {
-			r.giveUp(request)
-		}
+	for _, request := range r.ledger.waitingFor(dead.id) {
+		r.giveUp(request)
 	}
-	r.log(eventlog.TargetLost, "target", dead.name, "service", dead.service.name, "flows", ended)
+	r.log(eventlog.TargetLost, "target", dead.name, "service", dead.service.name, "flows", len(flows))
 }
 
 // observer is a caller that waits for notifications of a flow.
--- a/internal/routing/caller.go
+++ b/internal/routing/caller.go
@@ -48,9 +48,13 @@
 }
 
 // refuseUnknownService answers 4.04 to a request to an address that is no
-// service; everything else is only counted.
+// service; everything else is only counted. Without a lease this balancer may
+// not have heard of the service yet, and says nothing.
 func (r *Router) refuseUnknownService(address, caller netip.AddrPort, payload []byte) {
 	r.counters.UnknownService++
+	if !r.HasLease(r.now) {
+		return
+	}
 	if r.parser.Parse(payload) != nil || !coapmsg.IsRequest(r.parser.Message.Code) {
 		return
 	}
@@ -123,7 +127,11 @@
 	}
 	r.counters.RelayedToPrimary++
 	packet.Hops = 1
-	r.toPeer(owners.primary, packet)
+	to := owners.primary
+	if owners.backup != 0 && owners.backup != r.id && r.suspects(to) {
+		to = owners.backup
+	}
+	r.toPeer(to, packet)
 }
 
 func (r *Router) peerPacket(kind wire.PeerKind, work *job) wire.PeerPacket {
@@ -154,6 +162,25 @@
 	return true
 }
 
+// serveAsBackup sends a packet that may be repeated straight to the target of
+// its flow while the primary does not answer. It places nothing.
+func (r *Router) serveAsBackup(work *job) bool {
+	if work.class != coapmsg.ClassSafe {
+		return false
+	}
+	record, known := r.flows.get(work.fingerprint)
+	if !known {
+		return false
+	}
+	to := r.certainTarget(work, record)
+	if to == nil {
+		return false
+	}
+	r.counters.ServedByBackup++
+	r.forwardDirect(work, record, to)
+	return true
+}
+
 // receiveToPrimary handles a relay. A balancer that is not the primary by its
 // own view passes it on, a few times at most.
 func (r *Router) receiveToPrimary(packet *wire.PeerPacket) {
@@ -166,6 +193,9 @@
 		r.decide(&work, packet.Flags, packet.TargetID)
 		return
 	}
+	if owners.backup == r.id && r.suspects(owners.primary) && r.serveAsBackup(&work) {
+		return
+	}
 	if packet.Hops >= hopLimit {
 		r.counters.Unroutable++
 		return
--- a/internal/routing/coverage.go
+++ b/internal/routing/coverage.go
@@ -98,9 +98,11 @@
 // spans returns the longest time for which an earlier request and an earlier
 // flow can matter.
 func (r *Router) spans() (requests, flows time.Duration) {
-	requests, flows = DefaultRetransmitSpan, DefaultRetransmitSpan
+	if len(r.table.byID) == 0 {
+		return DefaultRetransmitSpan + networkLifetime, DefaultIdleTimeout
+	}
 	for _, owner := range r.table.byID {
-		requests = max(requests, owner.limits.retransmitSpan+owner.limits.deadline)
+		requests = max(requests, owner.limits.retransmitSpan+networkLifetime)
 		flows = max(flows, owner.limits.idleTimeout)
 	}
 	return requests, flows
--- a/internal/routing/flows.go
+++ b/internal/routing/flows.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/kernel"
@@ -64,6 +65,18 @@
 	return true
 }
 
+// of returns the flows of a target in a fixed order.
+func (t *flowTable) of(targetID uint32) []uint64 {
+	var list []uint64
+	for fingerprint, record := range t.records {
+		if record.targetID == targetID {
+			list = append(list, fingerprint)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 func (t *flowTable) remove(fingerprint uint64) { delete(t.records, fingerprint) }
 
 // sweepBatch is the number of records looked at in one tick.
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/eventlog"
@@ -89,8 +91,8 @@
 	h.queueDone(partitions, handoverRequestsDone)
 	h.queueFlows(r, owed)
 	h.queueDone(partitions, handoverFlowsDone)
-	for partner, job := range h.jobs {
-		r.log(eventlog.HandoverPlanned, "view", r.ViewNumber(), "partner", partner, "bytes", job.size(), "partitions", len(partitions[partner]))
+	for _, partner := range sortedKeys(h.jobs) {
+		r.log(eventlog.HandoverPlanned, "view", r.ViewNumber(), "partner", partner, "bytes", h.jobs[partner].size(), "partitions", len(partitions[partner]))
 	}
 }
 
@@ -118,26 +120,34 @@
 	job.queue = append(job.queue, handoverMessage{sequence: h.sequence, payload: payload, done: done})
 }
 
+// queueRequests queues the ledger's records. All queues are made in a fixed
+// order, so that a simulated run can be repeated.
 func (h *handover) queueRequests(r *Router, owed map[int]uint32) {
-	batches := map[uint32][]uint64{}
+	keys := map[uint32][]uint64{}
 	for key, request := range r.ledger.records {
 		partner := owed[PartitionOf(request.flow)]
-		if partner == 0 || request.forget <= r.now {
-			continue
-		}
-		batches[partner] = append(batches[partner], key)
-		if len(batches[partner]) == handoverBatch {
-			h.add(partner, encodeRequests(r, batches[partner]), nil)
-			batches[partner] = nil
+		if partner != 0 && request.forget > r.now {
+			keys[partner] = append(keys[partner], key)
 		}
 	}
-	for partner, batch := range batches {
-		if len(batch) > 0 {
-			h.add(partner, encodeRequests(r, batch), nil)
+	h.queueBatches(r, keys, encodeRequests)
+}
+
+// queueBatches queues records in the order of their keys, some in a message.
+func (h *handover) queueBatches(r *Router, keys map[uint32][]uint64, encode func(*Router, []uint64) []byte) {
+	for _, partner := range sortedKeys(keys) {
+		list := keys[partner]
+		slices.Sort(list)
+		for batch := range slices.Chunk(list, handoverBatch) {
+			h.add(partner, encode(r, batch), nil)
 		}
 	}
 }
 
+func sortedKeys[V any](items map[uint32]V) []uint32 {
+	return slices.Sorted(maps.Keys(items))
+}
+
 func encodeRequests(r *Router, keys []uint64) []byte {
 	var encoder wire.Encoder
 	encoder.Uint8(uint8(handoverRequests))
@@ -154,23 +164,13 @@
 }
 
 func (h *handover) queueFlows(r *Router, owed map[int]uint32) {
-	batches := map[uint32][]uint64{}
+	keys := map[uint32][]uint64{}
 	for fingerprint := range r.flows.records {
-		partner := owed[PartitionOf(fingerprint)]
-		if partner == 0 {
-			continue
-		}
-		batches[partner] = append(batches[partner], fingerprint)
-		if len(batches[partner]) == handoverBatch {
-			h.add(partner, encodeFlows(r, batches[partner]), nil)
-			batches[partner] = nil
-		}
-	}
-	for partner, batch := range batches {
-		if len(batch) > 0 {
-			h.add(partner, encodeFlows(r, batch), nil)
+		if partner := owed[PartitionOf(fingerprint)]; partner != 0 {
+			keys[partner] = append(keys[partner], fingerprint)
 		}
 	}
+	h.queueBatches(r, keys, encodeFlows)
 }
 
 func encodeFlows(r *Router, fingerprints []uint64) []byte {
@@ -185,10 +185,8 @@
 }
 
 func (h *handover) queueDone(partitions map[uint32][]int, kind handoverKind) {
-	for partner, list := range partitions {
-		for len(list) > 0 {
-			batch := list[:min(handoverDoneBatch, len(list))]
-			list = list[len(batch):]
+	for _, partner := range sortedKeys(partitions) {
+		for batch := range slices.Chunk(partitions[partner], handoverDoneBatch) {
 			var encoder wire.Encoder
 			encoder.Uint8(uint8(kind))
 			encoder.Uint32(uint32(len(batch)))
@@ -209,7 +207,7 @@
 	rate := float64(r.settings.HandoverRate)
 	h.budget = min(h.budget+rate*r.now.Sub(h.lastTick).Seconds(), handoverBurst*rate)
 	h.lastTick = r.now
-	for partner := range h.jobs {
+	for _, partner := range sortedKeys(h.jobs) {
 		h.push(r, partner)
 	}
 }
@@ -252,8 +250,9 @@
 	r.handover.push(r, packet.From)
 }
 
-// receiveHandover takes over records. Those that this balancer has of its own
-// are newer and stay.
+// receiveHandover takes over records. A request's record that this balancer
+// has of its own stays, and so does a flow's that was registered since its
+// pair was formed; an older one is from before and may be wrong by now.
 func (r *Router) receiveHandover(packet *wire.PeerPacket) {
 	if r.table.view == nil || packet.View != r.table.view.number {
 		return
@@ -305,9 +304,11 @@
 	fingerprint := decoder.Uint64()
 	targetID := decoder.Uint32()
 	to := r.table.targets[targetID]
-	if _, known := r.flows.get(fingerprint); known || to == nil {
+	own, known := r.flows.get(fingerprint)
+	if to == nil || known && own.registered >= r.table.view.epochs[PartitionOf(fingerprint)] {
 		return
 	}
+	r.uncount(own)
 	r.counters.HandoverRecords++
 	record := flowRecord{targetID: targetID, lastSeen: lastSeenAt(r.now), flags: flowAnswered}
 	if r.table.view.pairs[PartitionOf(fingerprint)].primary == r.id {
--- a/internal/routing/primary.go
+++ b/internal/routing/primary.go
@@ -27,7 +27,7 @@
 		r.relayWithoutLease(work)
 		return
 	}
-	if work.unsafe() && r.answerRepeated(work) {
+	if work.unsafe() && (r.answerRepeated(work) || r.holdForView(work)) {
 		return
 	}
 	record, known := r.flows.get(work.fingerprint)
@@ -184,7 +184,8 @@
 	}
 	throughBackup := owners.backup != 0 && !r.settings.Mechanisms.NoBackupRecord
 	if !work.unsafe() {
-		r.commitSafe(work, choice, throughBackup && !(registered && work.class == coapmsg.ClassSafe))
+		needsBackup := throughBackup && !(registered && work.class == coapmsg.ClassSafe)
+		r.commitSafe(work, choice, needsBackup)
 		return
 	}
 	if !throughBackup {
@@ -197,16 +198,32 @@
 	r.relayToBackup(work, choice)
 }
 
-// commitSafe sends on a packet that may be repeated.
+// commitSafe sends on a packet that may be repeated. While the backup does not
+// answer, the packet goes to the target without being registered there.
 func (r *Router) commitSafe(work *job, choice decision, throughBackup bool) {
 	switch {
 	case choice.refuse:
 		r.refuse(work)
-	case throughBackup:
-		r.relayToBackup(work, choice)
-	default:
+	case !throughBackup:
 		r.toTarget(choice.to, work.caller, r.table.view.number, 0, work.payload)
+	case r.suspects(r.table.view.pairs[work.partition].backup):
+		r.toTarget(choice.to, work.caller, 0, 0, work.payload)
+	default:
+		r.relayToBackup(work, choice)
+	}
+}
+
+// holdForView drops a request that may not be repeated while the backup does
+// not answer: forwarded now, its outcome would most likely stay unknown.
+// Nothing is recorded, so the caller's retransmission is a first attempt once
+// the view has changed.
+func (r *Router) holdForView(work *job) bool {
+	owners := r.table.view.pairs[work.partition]
+	if owners.backup == 0 || r.settings.Mechanisms.NoBackupRecord || !r.suspects(owners.backup) {
+		return false
 	}
+	r.counters.HeldForView++
+	return true
 }
 
 // finishAlone ends the decision on a primary that has no backup.
@@ -257,9 +274,10 @@
 	return request
 }
 
-// networkLifetime is how long a packet can stay in the network after its last
-// transmission.
-const networkLifetime = 2 * time.Second
+// networkLifetime is how long a packet can be under way after its last
+// transmission: the network's part is short, and each of three balancers may
+// hold it for maxPacketAge.
+const networkLifetime = 3*maxPacketAge + time.Second
 
 func (r *Router) newRequest(work *job) *requestRecord {
 	deadline := work.service.limits.deadline
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/kernel"
@@ -49,6 +50,23 @@
 	answer []byte
 }
 
+// waitingFor returns the requests without an answer at a target, in a fixed
+// order.
+func (l *ledger) waitingFor(targetID uint32) []*requestRecord {
+	var keys []uint64
+	for key, record := range l.records {
+		if record.state == requestForwarded && record.targetID == targetID {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	list := make([]*requestRecord, 0, len(keys))
+	for _, key := range keys {
+		list = append(list, l.records[key])
+	}
+	return list
+}
+
 const ledgerTick = 100 * time.Millisecond
 
 // ledger holds the requests that may not be repeated, with a wheel of the
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -45,6 +45,8 @@
 	NoHandover bool
 	// NoDrain places new flows on leaving targets.
 	NoDrain bool
+	// NoPeerHealth sends to balancers without regard to signs of life.
+	NoPeerHealth bool
 	// UnsafeRetry retries a request whose fate is not known.
 	UnsafeRetry bool
 }
@@ -94,6 +96,7 @@
 	ledger    *ledger
 	coverage  coverage
 	handover  handover
+	health    peerHealth
 	observers map[uint64]observer
 	parser    *coapmsg.Parser
 	actions   []Action
@@ -130,6 +133,7 @@
 		reportSent: map[uint64]kernel.Instant{},
 	}
 	router.handover.init()
+	router.health = newPeerHealth()
 	return router, nil
 }
 
@@ -239,6 +243,7 @@
 	}
 	r.coverage.adopt(r, previous)
 	r.handover.plan(r)
+	r.health.forget(r.table.view)
 	r.log(eventlog.ViewAdopted, "view", config.Number, "members", len(config.Members), "id", r.id)
 }
 
@@ -268,19 +273,44 @@
 	return r.actions
 }
 
-// HandleCallerPacket handles a packet from a caller to a service.
-func (r *Router) HandleCallerPacket(now kernel.Instant, serviceAddress, caller netip.AddrPort, payload []byte) []Action {
+// maxPacketAge is the longest time a packet may have waited before this
+// balancer looks at it. One that waited longer, as in a process that was
+// stopped and goes on, could come after its request was forgotten.
+const maxPacketAge = time.Second
+
+// tooOld reports whether a packet has waited for too long.
+func (r *Router) tooOld(arrived kernel.Instant) bool {
+	if r.now.Sub(arrived) <= maxPacketAge {
+		return false
+	}
+	r.counters.PacketsTooOld++
+	return true
+}
+
+// HandleCallerPacket handles a packet from a caller to a service that arrived
+// at this machine at the given time.
+func (r *Router) HandleCallerPacket(now, arrived kernel.Instant, serviceAddress, caller netip.AddrPort, payload []byte) []Action {
 	r.begin(now)
 	r.counters.CallerPackets++
+	if r.tooOld(arrived) {
+		return r.actions
+	}
 	r.handleCaller(serviceAddress, caller, payload)
 	return r.actions
 }
 
-// HandlePeerPacket handles a packet from another balancer.
-func (r *Router) HandlePeerPacket(now kernel.Instant, packet *wire.PeerPacket) []Action {
+// HandlePeerPacket handles a packet from another balancer that arrived at
+// this machine at the given time.
+func (r *Router) HandlePeerPacket(now, arrived kernel.Instant, packet *wire.PeerPacket) []Action {
 	r.begin(now)
 	r.counters.PeerPackets++
+	if r.tooOld(arrived) {
+		return r.actions
+	}
+	r.health.noteHeard(now, packet.From)
 	switch packet.Kind {
+	case wire.PeerProbe:
+		r.receiveProbe(packet)
 	case wire.PeerToPrimary:
 		r.receiveToPrimary(packet)
 	case wire.PeerToBackup:
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -65,9 +65,10 @@
 
 // Defaults for limits that the configuration leaves out.
 const (
-	DefaultQueueFactor    = 8
-	DefaultDeadline       = 8 * time.Second
-	DefaultRetransmitSpan = 10 * time.Second
+	DefaultQueueFactor = 8
+	DefaultDeadline    = 8 * time.Second
+	// DefaultRetransmitSpan is MAX_TRANSMIT_SPAN of RFC 7252, section 4.8.2.
+	DefaultRetransmitSpan = 45 * time.Second
 	DefaultIdleTimeout    = 10 * time.Minute
 	DefaultColdStart      = 10 * time.Second
 	DefaultRetryPercent   = 10
--- a/internal/store/write.go
+++ b/internal/store/write.go
@@ -55,7 +55,8 @@
 }
 
 // writeService stores a service. A target keeps its ID, and so its flows, as
-// long as its name and address stay the same.
+// long as its name and address stay the same. It also stays draining: a file
+// that does not know of the drain must not end it.
 func (s *Store) writeService(service *beamdoorv1.Service, revision uint64) {
 	stored := proto.CloneOf(service)
 	previous := s.services[service.Name]
@@ -79,6 +80,7 @@
 		old := known[target.Name]
 		if old != nil && old.Address == target.Address && !moved {
 			target.Id = old.Id
+			target.Draining = target.Draining || old.Draining
 			continue
 		}
 		target.Id = s.takeID()
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -28,6 +28,9 @@
 	PeerHandoverReply
 	// PeerViewIs tells the sender of an old view the number of the newer one.
 	PeerViewIs
+	// PeerProbe asks whether a balancer answers, and PeerProbeReply says so.
+	PeerProbe
+	PeerProbeReply
 )
 
 // PeerFlags qualify a datagram between balancers.
@@ -111,7 +114,7 @@
 	ip := netip.AddrFrom16([16]byte(buffer[40:56])).Unmap()
 	packet.Caller = netip.AddrPortFrom(ip, binary.BigEndian.Uint16(buffer[56:]))
 	packet.Payload = buffer[PeerHeaderSize:]
-	if packet.Kind < PeerToPrimary || packet.Kind > PeerViewIs {
+	if packet.Kind < PeerToPrimary || packet.Kind > PeerProbeReply {
 		return steperror.New("wire.decode_peer", "", "unknown packet kind")
 	}
 	return nil
