A leader that was stopped gives balancers time to report

Balancers connected to a stopped member also noticed it only after 2.5 s, too late for their lease. Change: a gap between two ticks moves the earliest expiry; a balancer tries another member after two missing answers and reports at once; a member that knows no leader says so instead of being silent. Ruled out: the leader's own lease was valid at the time (term unchanged).

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -21,8 +21,8 @@
 	controlTimeout = time.Second
 	controlBackoff = 250 * time.Millisecond
 	// controlSilence is the longest time without a frame from the control
-	// member before another one is tried.
-	controlSilence = 2500 * time.Millisecond
+	// member, two reports, before another one is tried.
+	controlSilence = 1600 * time.Millisecond
 )
 
 // controlLink is the connection to one control member at a time. It tries
@@ -62,6 +62,7 @@
 			continue
 		}
 		l.process.logger.Event(eventlog.ControlConnected, "peer", address)
+		l.process.inputs.TryPush(reconnectedInput{})
 		err = l.serve(connection)
 		l.process.logger.Event(eventlog.ControlLost, "peer", address, "err", steperror.Wrap("balancer.control", address, err))
 	}
@@ -102,6 +103,13 @@
 	}
 }
 
+// reconnectedInput says that the connection was opened.
+type reconnectedInput struct{}
+
+func (reconnectedInput) handle(p *Process, now kernel.Instant) []routing.Action {
+	return p.router.Reconnected(now)
+}
+
 // controlInput is a frame of the control member.
 type controlInput struct{ frame wire.Frame }
 
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -37,6 +37,8 @@
 	Store store.Options
 	// NoLeaseWait removes a silent balancer from the view before its lease ends.
 	NoLeaseWait bool
+	// NoStallCheck holds balancers for silent after this process was stopped.
+	NoStallCheck bool
 	// NoLeaderLease grants leases and serves reads without a quorum's support.
 	NoLeaderLease bool
 }
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
@@ -37,8 +38,10 @@
 	core    *Core
 	records map[uint64]*leaseRecord
 	cells   map[uint32]*cellRecord
-	// floor is the earliest end of any lease that a former leader granted.
-	floor kernel.Instant
+	// floor is the earliest end of any lease that a former leader granted, or
+	// that this one may have missed to renew while it was stopped.
+	floor    kernel.Instant
+	lastTick kernel.Instant
 }
 
 func newLeaseTable(core *Core) *leaseTable {
@@ -54,6 +57,7 @@
 	t.records = map[uint64]*leaseRecord{}
 	t.cells = map[uint32]*cellRecord{}
 	t.floor = now.Add(t.core.settings.Lease + t.core.settings.LeaseMargin)
+	t.lastTick = now
 }
 
 func (t *leaseTable) cell(number uint32) *cellRecord {
@@ -165,6 +169,7 @@
 
 // tick proposes the next view of each cell that needs one.
 func (t *leaseTable) tick(now kernel.Instant) {
+	t.noteStall(now)
 	if !t.core.CanRead(now) {
 		return
 	}
@@ -186,6 +191,19 @@
 	}
 }
 
+// stallLimit is the longest time between two ticks of a process that runs.
+const stallLimit = 500 * time.Millisecond
+
+// noteStall finds out whether this process was stopped. The reports of that
+// time wait unread, so the balancers' silence says nothing about them.
+func (t *leaseTable) noteStall(now kernel.Instant) {
+	if now.Sub(t.lastTick) > stallLimit && !t.core.settings.Mechanisms.NoStallCheck {
+		t.floor = max(t.floor, now.Add(t.core.settings.Lease))
+		t.core.log(eventlog.LeaderStalled, "stopped_for", now.Sub(t.lastTick))
+	}
+	t.lastTick = now
+}
+
 // dropSilent forgets balancers that are in no view and no longer report.
 func (t *leaseTable) dropSilent(now kernel.Instant) {
 	for nonce, record := range t.records {
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -8,6 +8,7 @@
 
 	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/raft"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
@@ -94,11 +95,21 @@
 		c.deliverGrants(c.leases.receive(now, []wire.NodeReport{report}))
 	} else {
 		c.queuedReports = append(c.queuedReports, report)
+		c.answerWithoutLeader(report)
 	}
 	c.flush(now)
 	return c.take()
 }
 
+// answerWithoutLeader tells a balancer that this member runs but knows no
+// leader, so that the balancer does not change to another member in vain.
+func (c *Core) answerWithoutLeader(report wire.NodeReport) {
+	if c.node.Leader() != raft.NoMember {
+		return
+	}
+	c.deliverGrants([]wire.Grant{{Nonce: report.Nonce, Sequence: report.Sequence}})
+}
+
 // resendAfter is the number of reports with an old revision after which the
 // configuration is sent again.
 const resendAfter = 4
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -28,6 +28,7 @@
 	PeerLost          ID = 1022
 	ViewChanged       ID = 1030
 	BalancerExpired   ID = 1031
+	LeaderStalled     ID = 1032
 	WriteAccepted     ID = 1040
 	WriteRefused      ID = 1041
 	PolicyFailed      ID = 1050
@@ -76,6 +77,7 @@
 	{PeerLost, "peer_lost", "connection to a control member lost"},
 	{ViewChanged, "view_changed", "view of a cell changed"},
 	{BalancerExpired, "balancer_expired", "lease of a balancer ran out"},
+	{LeaderStalled, "leader_stalled", "the leader was stopped for a while and gives all balancers a new lease's time"},
 	{WriteAccepted, "write_accepted", "write of an operator accepted"},
 	{WriteRefused, "write_refused", "write of an operator refused"},
 	{PolicyFailed, "policy_failed", "policy program failed and its last verdict stays in force"},
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -43,6 +43,8 @@
 	{"drain", "leaving targets get no new flow", func(m *Mechanisms) { m.Routing.NoDrain = true }},
 	{"retry-rule", "only what a target itself refused is tried elsewhere", func(m *Mechanisms) { m.Routing.UnsafeRetry = true }},
 	{"lease-wait", "a silent balancer stays in the view until its lease has run out", func(m *Mechanisms) { m.Control.NoLeaseWait = true }},
+	{"stall-check", "a leader that was stopped gives balancers time to report", func(m *Mechanisms) { m.Control.NoStallCheck = true }},
+	{"peer-health", "peers without a sign of life are passed round", func(m *Mechanisms) { m.Routing.NoPeerHealth = true }},
 	{"leader-lease", "a leader grants and answers only with a quorum's support", func(m *Mechanisms) { m.Control.NoLeaderLease = true }},
 	{"pre-vote", "a member asks before it raises its term", func(m *Mechanisms) { m.Control.Raft.NoPreVote = true; m.Control.Raft.NoStickiness = true }},
 	{"check-quorum", "a leader without a quorum steps down", func(m *Mechanisms) { m.Control.Raft.NoCheckQuorum = true }},
--- a/internal/routing/membership.go
+++ b/internal/routing/membership.go
@@ -19,6 +19,14 @@
 	return r.actions
 }
 
+// Reconnected reports at once after the connection to the control plane was
+// opened anew, so that the lease does not lapse over it.
+func (r *Router) Reconnected(now kernel.Instant) []Action {
+	r.begin(now)
+	r.sendReport()
+	return r.actions
+}
+
 // sendReport sends a heartbeat, and draws the time of the next one with a
 // jitter of a quarter against reports that come in step.
 func (r *Router) sendReport() {
