Simulator: switches for every mechanism, rules for reads, refusals and leaders

Change: rules for fresh reads, refused writes and stable leaders; drains that the target does not hear of; a third member cut off before a disk is lost; a frozen process reads its sockets in any order when it goes on; two balancers cut off from control together; retry of unknown requests as a switch. tag-check and service-check are one mechanism at two ends.

--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -34,6 +34,8 @@
 	clientDelay time.Duration
 	faults      faults
 	cut         map[route]bool
+	// source is where the packet comes from that arrives now.
+	source string
 	// ordered holds when the last frame of each stream arrives.
 	ordered map[route]kernel.Instant
 }
@@ -85,7 +87,7 @@
 		if n.random.Float64() < now.reorder {
 			wait += time.Duration(n.random.Int64N(int64(overtakeDelay)))
 		}
-		n.clock.After(wait, arrive)
+		n.clock.After(wait, n.from(from, arrive))
 	}
 }
 
@@ -98,7 +100,15 @@
 	at := n.clock.Now().Add(n.delay(from, to))
 	at = max(at, n.ordered[way]+1)
 	n.ordered[way] = at
-	n.clock.After(at.Sub(n.clock.Now()), arrive)
+	n.clock.After(at.Sub(n.clock.Now()), n.from(from, arrive))
+}
+
+// from notes the source of what arrives.
+func (n *network) from(source place, arrive func()) func() {
+	return func() {
+		n.source = source.name
+		arrive()
+	}
 }
 
 // cutWay silences one direction.
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -13,6 +13,9 @@
 	RuleNoRevert    = "accepted never reverts"
 	RuleOneWinner   = "one winner for a base revision"
 	RuleOnce        = "a resent write is made once"
+	RuleRefused     = "a refused write is not made"
+	RuleFreshRead   = "reads show every answered write"
+	RuleStable      = "a member that comes back deposes no leader"
 	RuleInForce     = "in force within seconds"
 	RuleDrained     = "a leaving target gets no new work"
 	RuleHearOfDeath = "callers hear of a target's death"
@@ -99,6 +102,8 @@
 			w.violate(RuleNoRevert, "%q was accepted as revision %d and is not in the history", current.summary, current.result.Revision)
 		case times > 1:
 			w.violate(RuleOnce, "%q was made %d times", current.summary, times)
+		case current.answered && !current.accepted() && times > 0:
+			w.violate(RuleRefused, "%q was refused (%s) and is in the history", current.summary, current.result.Reason)
 		}
 		if !current.accepted() || current.kind != store.CommandApply {
 			continue
@@ -108,6 +113,36 @@
 		}
 		winners[current.base] = current
 	}
+	w.judgeReads(revisions)
+}
+
+// judgeReads checks that a read that began after a write was answered shows
+// this write or a later one.
+func (w *World) judgeReads(revisions map[string]uint64) {
+	for _, got := range w.operators.reads {
+		for _, current := range w.operators.writes {
+			answeredBefore := current.accepted() && current.finished < got.started
+			if answeredBefore && revisions[got.newest] < current.result.Revision {
+				w.violate(RuleFreshRead, "a read at %s showed %q after %q was answered", time.Duration(got.started), got.newest, current.summary)
+				return
+			}
+		}
+	}
+}
+
+// watchLeader checks that the leader of now is still the leader later.
+func (w *World) watchLeader(wait time.Duration) {
+	before := w.leader()
+	if before == nil {
+		return
+	}
+	term := before.core.Raft().Term()
+	w.clock.After(wait, func() {
+		after := w.leader()
+		if after == nil || after.core.Raft().Term() != term {
+			w.violate(RuleStable, "%s led in term %d and lost its place", before.name, term)
+		}
+	})
 }
 
 // slowestInForce returns the longest time an accepted write took to be in
--- a/internal/lab/sim/process.go
+++ b/internal/lab/sim/process.go
@@ -15,6 +15,13 @@
 // backlogLimit is the number of packets that wait at a frozen process.
 const backlogLimit = 4096
 
+// waitingInput is something that came from one source while the process was
+// frozen.
+type waitingInput struct {
+	source string
+	run    func()
+}
+
 // process is what all emulated processes have in common: it starts, dies,
 // freezes, and has a monotonic clock of its own that may run fast or slow.
 type process struct {
@@ -25,7 +32,7 @@
 	generation int
 	startedAt  kernel.Instant
 	clockRate  float64
-	backlog    []func()
+	backlog    []waitingInput
 	// arrivedAt is when that which is being handled came, on its own clock.
 	arrivedAt kernel.Instant
 }
@@ -61,7 +68,10 @@
 	case p.frozen:
 		if len(p.backlog) < backlogLimit {
 			arrived := p.now()
-			p.backlog = append(p.backlog, func() { p.handle(arrived, run) })
+			p.backlog = append(p.backlog, waitingInput{
+				source: p.world.network.source,
+				run:    func() { p.handle(arrived, run) },
+			})
 		}
 	default:
 		p.handle(p.now(), run)
@@ -88,11 +98,35 @@
 	p.frozen = false
 	waiting := p.backlog
 	p.backlog = nil
-	for _, run := range waiting {
+	for _, input := range p.world.interleave(waiting) {
 		if p.up {
-			run()
+			input.run()
+		}
+	}
+}
+
+// interleave keeps the order of each source and mixes the sources: a process
+// that goes on reads its sockets in any order.
+func (w *World) interleave(waiting []waitingInput) []waitingInput {
+	var sources []string
+	bySource := map[string][]waitingInput{}
+	for _, input := range waiting {
+		if len(bySource[input.source]) == 0 {
+			sources = append(sources, input.source)
+		}
+		bySource[input.source] = append(bySource[input.source], input)
+	}
+	mixed := make([]waitingInput, 0, len(waiting))
+	for len(sources) > 0 {
+		i := w.random.IntN(len(sources))
+		queue := bySource[sources[i]]
+		mixed = append(mixed, queue[0])
+		bySource[sources[i]] = queue[1:]
+		if len(queue) == 1 {
+			sources = append(sources[:i], sources[i+1:]...)
 		}
 	}
+	return mixed
 }
 
 // whileRunning runs a function later, unless this run of the process has ended.
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -36,8 +36,10 @@
 	{"history-check", "a new owner gives no word on requests that it has no records of", func(m *Mechanisms) { m.Routing.NoHistoryCheck = true }},
 	{"balancer-lease", "a balancer decides only under a lease on its own clock", func(m *Mechanisms) { m.Routing.NoLeaseCheck = true }},
 	{"view-check", "primary and backup work together only in the same view", func(m *Mechanisms) { m.Routing.NoViewCheck = true }},
-	{"tag-check", "service and incarnation travel with each packet", func(m *Mechanisms) { m.Routing.NoTagCheck = true }},
-	{"service-check", "a target drops what is not for its service", func(m *Mechanisms) { m.NoServiceCheck = true }},
+	{"service-check", "service and incarnation travel with each packet, and targets and balancers check them", func(m *Mechanisms) {
+		m.NoServiceCheck = true
+		m.Routing.NoTagCheck = true
+	}},
 	{"consult", "a new owner asks the others before it places a flow anew", func(m *Mechanisms) { m.Routing.NoConsult = true }},
 	{"handover", "records are handed to a new member of a pair", func(m *Mechanisms) { m.Routing.NoHandover = true }},
 	{"drain", "leaving targets get no new flow", func(m *Mechanisms) { m.Routing.NoDrain = true }},
--- a/internal/lab/sim/scenario_balancer.go
+++ b/internal/lab/sim/scenario_balancer.go
@@ -82,6 +82,26 @@
 				})
 			},
 		},
+		{
+			Name:    "cut-two-balancers",
+			Purpose: "two balancers are cut off from the control plane, but reach each other and their callers",
+			tune: func(p *Plan) {
+				p.MostUnfinished = 0.4
+				p.DownloadsMayFail = true
+			},
+			run: func(w *World) {
+				w.network.faults = faults{loss: 0.02, duplicate: 0.02, reorder: 0.05}
+				w.soon(func() {
+					a, b := w.aliveBalancer(), w.aliveBalancer()
+					for _, m := range w.members {
+						for _, cut := range []*balancer{a, b} {
+							w.cutPair(cut.name, m.name, 24*time.Second)
+							w.cutPair(m.name, cut.name, 24*time.Second)
+						}
+					}
+				})
+			},
+		},
 		{
 			Name:    "cut-peers",
 			Purpose: "balancers cannot reach each other, one way or both",
--- a/internal/lab/sim/scenario_control.go
+++ b/internal/lab/sim/scenario_control.go
@@ -84,9 +84,12 @@
 					if w.random.IntN(2) == 0 {
 						m = w.leader()
 					}
-					if m != nil {
-						w.isolate(m.name, w.between(5*time.Second, 20*time.Second))
+					if m == nil {
+						return
 					}
+					length := w.between(5*time.Second, 20*time.Second)
+					w.isolate(m.name, length)
+					w.clock.After(length-time.Millisecond, func() { w.watchLeader(4 * time.Second) })
 				})
 			},
 		},
@@ -186,9 +189,31 @@
 	if lost == nil {
 		return
 	}
+	w.clock.After(w.cutOther(lost), func() { w.wipe(lost) })
+}
+
+// cutOther sometimes cuts the third member off first, so that the lost disk
+// held the only other copy of the newest writes. It returns when to go on.
+func (w *World) cutOther(lost *member) time.Duration {
+	if w.random.IntN(2) == 0 {
+		return 0
+	}
+	for _, m := range w.members {
+		if m != lost && m != w.leader() {
+			w.isolate(m.name, 3*time.Second)
+		}
+	}
+	return 2500 * time.Millisecond
+}
+
+// wipe takes a member's disk away and starts it again under its old ID.
+func (w *World) wipe(lost *member) {
 	w.trace("%s loses its disk", lost.name)
 	lost.die()
 	lost.disk.wipe()
+	if w.random.IntN(2) == 0 {
+		w.killMember(w.leader(), w.between(4*time.Second, 8*time.Second))
+	}
 	var founders []*beamdoorv1.Member
 	for _, m := range w.members {
 		founders = append(founders, memberAddresses(m.id))
--- a/internal/lab/sim/scenario_target.go
+++ b/internal/lab/sim/scenario_target.go
@@ -81,6 +81,8 @@
 	w.drain(back, true)
 }
 
+// drain marks a target as leaving. Every other target does not hear of it, so
+// that its own report does not do the work of the mark.
 func (w *World) drain(back *backendProcess, draining bool) {
 	w.operators.drain(w.serviceName(back), back.name, draining, func(result store.Result) {
 		if result.Code == store.ErrorConflict {
@@ -89,7 +91,7 @@
 		if result.Code != store.ErrorNone {
 			return
 		}
-		back.core.Drain(draining)
+		back.core.Drain(draining && w.random.IntN(2) == 0)
 		back.drainedAt = 0
 		if draining {
 			back.drainedAt = w.clock.Now()
--- a/internal/routing/answer.go
+++ b/internal/routing/answer.go
@@ -165,11 +165,14 @@
 }
 
 // requestExpired ends a request whose deadline has passed without an answer.
-func (r *Router) requestExpired(_ uint64, request *requestRecord) { r.giveUp(request) }
+func (r *Router) requestExpired(key uint64, request *requestRecord) { r.giveUp(key, request) }
 
 // giveUp answers "outcome unknown" at once. Only the primary speaks; the
 // backup marks its record.
-func (r *Router) giveUp(request *requestRecord) {
+func (r *Router) giveUp(key uint64, request *requestRecord) {
+	if r.settings.Mechanisms.UnsafeRetry && r.retryUnsafe(key, request) {
+		return
+	}
 	request.state = requestUnknown
 	r.untrack(request, false)
 	packet := request.packet
@@ -200,8 +203,8 @@
 			r.endObserver(fingerprint)
 		}
 	}
-	for _, request := range r.ledger.waitingFor(dead.id) {
-		r.giveUp(request)
+	for _, key := range r.ledger.waitingFor(dead.id) {
+		r.giveUp(key, r.ledger.get(key))
 	}
 	r.log(eventlog.TargetLost, "target", dead.name, "service", dead.service.name, "flows", len(flows))
 }
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -52,7 +52,7 @@
 
 // waitingFor returns the requests without an answer at a target, in a fixed
 // order.
-func (l *ledger) waitingFor(targetID uint32) []*requestRecord {
+func (l *ledger) waitingFor(targetID uint32) []uint64 {
 	var keys []uint64
 	for key, record := range l.records {
 		if record.state == requestForwarded && record.targetID == targetID {
@@ -60,11 +60,7 @@
 		}
 	}
 	slices.Sort(keys)
-	list := make([]*requestRecord, 0, len(keys))
-	for _, key := range keys {
-		list = append(list, l.records[key])
-	}
-	return list
+	return keys
 }
 
 const ledgerTick = 100 * time.Millisecond
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -77,3 +77,21 @@
 	request.relayedTo = r.table.view.pairs[work.partition].backup
 	r.relayToBackup(work, decision{to: next, attempt: request.attempt})
 }
+
+// retryUnsafe sends a request whose fate is not known to another target. The
+// product never does; a test shows with it what the rule is for.
+func (r *Router) retryUnsafe(key uint64, request *requestRecord) bool {
+	owner := r.table.byID[request.service]
+	if owner == nil || request.packet == nil || request.attempt >= attemptLimit {
+		return false
+	}
+	next := r.pick(owner, r.table.targets[request.targetID])
+	var work job
+	if next == nil || !r.readJob(&work, owner, request.caller, request.packet) {
+		return false
+	}
+	work.requestKey = key
+	r.moveRequest(request, next)
+	r.toTarget(next, request.caller, r.table.view.number, key, request.packet)
+	return true
+}
