Identity of each data folder is part of the membership; founding asks all founders

Options weighed: pins carried in appends (a follower that was cut off the whole time still has none), pins as log entries (the same), identity inside the membership. The last is strict: a member is counted only by those whose membership names it, and the membership names the folder. Change: membership holds identities and the highest ID used; pins are gone; a group is founded by its lowest founder once all founders have introduced themselves with empty folders; a learner is added only after it introduced itself, under a new ID. The log writes an unsynced marker after each synced batch, so that a record that goes bad on the disk later is told from a torn tail.

--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -255,7 +255,7 @@
 	if err := checkRequestID(request.Msg.RequestId); err != nil {
 		return nil, err
 	}
-	change, err := membershipChange(request.Msg)
+	change, err := readMembershipChange(request.Msg)
 	if err != nil {
 		return nil, refusal(connect.CodeInvalidArgument, err, &beamdoorv1.ErrorDetail{Reason: err.Error()})
 	}
@@ -273,18 +273,25 @@
 	return s.write(ctx, command)
 }
 
-func membershipChange(request *beamdoorv1.ChangeMemberRequest) (func(raft.Membership) raft.Membership, error) {
+// membershipChange makes the next membership out of the present one.
+type membershipChange func(now kernel.Instant, core *Core) (raft.Membership, error)
+
+func readMembershipChange(request *beamdoorv1.ChangeMemberRequest) (membershipChange, error) {
 	if request.GetMember().GetId() == 0 {
 		return nil, errors.New("member.id: must be a number from 1 on that no member has had before")
 	}
 	id := raft.MemberID(request.Member.Id)
 	switch request.Change {
 	case beamdoorv1.MemberChange_MEMBER_CHANGE_ADD_LEARNER:
-		return func(m raft.Membership) raft.Membership { return m.AddLearner(id) }, nil
+		return func(now kernel.Instant, core *Core) (raft.Membership, error) { return core.withLearner(now, id) }, nil
 	case beamdoorv1.MemberChange_MEMBER_CHANGE_PROMOTE:
-		return func(m raft.Membership) raft.Membership { return m.Promote(id) }, nil
+		return func(_ kernel.Instant, core *Core) (raft.Membership, error) {
+			return core.Raft().Membership().Promote(id), nil
+		}, nil
 	case beamdoorv1.MemberChange_MEMBER_CHANGE_REMOVE:
-		return func(m raft.Membership) raft.Membership { return m.Remove(id) }, nil
+		return func(_ kernel.Instant, core *Core) (raft.Membership, error) {
+			return core.Raft().Membership().Remove(id), nil
+		}, nil
 	}
 	return nil, errors.New("change: must be add-learner, promote or remove")
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -61,6 +61,11 @@
 	// SnapshotEntries is the length of the log at which it is compacted.
 	SnapshotEntries int
 	Mechanisms      Mechanisms
+	// Founders are the members of a group that does not exist yet; empty when
+	// this member is to be added to one that does.
+	Founders []*beamdoorv1.Member
+	// Contacts are the members to which one with an empty folder introduces itself.
+	Contacts []raft.MemberID
 }
 
 // DefaultSettings returns the settings of a member in production.
@@ -132,6 +137,7 @@
 	store    *store.Store
 	pending  map[uint64]pendingProposal
 	leases   *leaseTable
+	founding *founding
 	nodes    *nodeTable
 	tracer   *tracer
 	output   Output
@@ -165,34 +171,10 @@
 		applied:  restored.Snapshot.Index,
 	}
 	core.leases = newLeaseTable(core)
+	core.founding = newFounding(settings)
 	return core, nil
 }
 
-// Bootstrap returns what the disk of a first member holds before it starts:
-// a snapshot with the first membership and the members' addresses.
-func Bootstrap(members []*beamdoorv1.Member) (raft.Restored, error) {
-	state := store.New(store.Options{})
-	var membership raft.Membership
-	for _, member := range members {
-		membership.Voters = append(membership.Voters, raft.MemberID(member.Id))
-		state.Apply(store.Command{
-			Kind: store.CommandSetMember,
-			Body: &beamdoorv1.ChangeMemberRequest{
-				Change: beamdoorv1.MemberChange_MEMBER_CHANGE_PROMOTE,
-				Member: member,
-			},
-		})
-	}
-	data, err := state.Encode()
-	if err != nil {
-		return raft.Restored{}, err
-	}
-	return raft.Restored{
-		Snapshot: raft.Snapshot{Index: 1, Term: 0, Membership: membership, Data: data},
-		Pins:     map[raft.MemberID]uint64{},
-	}, nil
-}
-
 // Failed returns the error of the disk that stopped this member, or nil.
 func (c *Core) Failed() error { return c.failed }
 
@@ -218,6 +200,7 @@
 	if c.failed != nil {
 		return Output{}
 	}
+	c.tickFounding(now)
 	c.node.Tick(now)
 	c.flush(now)
 	if c.IsLeader() {
@@ -241,6 +224,8 @@
 			return c.take()
 		}
 		c.node.Step(now, message)
+	case wire.FrameHello:
+		c.receiveHello(now, from, frame)
 	case wire.FrameReports:
 		c.receiveReports(now, from, frame)
 	case wire.FrameGrants:
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	identity, fresh, err := wal.LoadIdentity(folder, rand.Uint64)
+	identity, err := wal.LoadIdentity(folder, rand.Uint64)
 	if err != nil {
 		return nil, err
 	}
@@ -77,13 +77,10 @@
 	if report.TornBytes > 0 {
 		logger.Event(eventlog.TailCut, "bytes", report.TornBytes)
 	}
-	if fresh && loaded.Bootstrap {
-		if restored, err = bootstrap(loaded, log); err != nil {
-			return nil, err
-		}
-	}
 	core.Raft.ID = raft.MemberID(loaded.ID)
 	core.Raft.Identity = identity
+	core.Founders = founders(loaded)
+	core.Contacts = contacts(loaded)
 	core.Raft.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	process := &Process{
 		settings: loaded,
@@ -103,7 +100,11 @@
 	return process, err
 }
 
-func bootstrap(loaded *settings.Control, log *wal.Log) (raft.Restored, error) {
+// founders returns the members of a group that is to be founded.
+func founders(loaded *settings.Control) []*beamdoorv1.Member {
+	if !loaded.Bootstrap {
+		return nil
+	}
 	var members []*beamdoorv1.Member
 	for _, member := range loaded.Members {
 		members = append(members, &beamdoorv1.Member{
@@ -113,11 +114,15 @@
 			Nodes: member.Nodes,
 		})
 	}
-	restored, err := Bootstrap(members)
-	if err != nil {
-		return raft.Restored{}, err
+	return members
+}
+
+func contacts(loaded *settings.Control) []raft.MemberID {
+	var ids []raft.MemberID
+	for _, member := range loaded.Members {
+		ids = append(ids, raft.MemberID(member.ID))
 	}
-	return restored, log.Rewrite(restored)
+	return ids
 }
 
 // now returns the time on this process's monotonic clock.
@@ -290,14 +295,18 @@
 }
 
 type membershipInput struct {
-	change func(raft.Membership) raft.Membership
+	change membershipChange
 	answer chan Outcome
 }
 
 func (i membershipInput) handle(p *Process, now kernel.Instant) Output {
 	p.token++
 	p.waiting[p.token] = i.answer
-	return p.core.ProposeMembership(now, p.token, i.change(p.core.Raft().Membership()))
+	next, err := i.change(now, p.core)
+	if err != nil {
+		return Output{Outcomes: []Outcome{{Token: p.token, Err: err}}}
+	}
+	return p.core.ProposeMembership(now, p.token, next)
 }
 
 type signalsInput struct {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -23,6 +23,8 @@
 	SnapshotInstalled ID = 1012
 	DiskFailed        ID = 1013
 	TailCut           ID = 1014
+	GroupFounded      ID = 1015
+	FoundingRefused   ID = 1016
 	BadFrame          ID = 1020
 	PeerConnected     ID = 1021
 	PeerLost          ID = 1022
@@ -72,6 +74,8 @@
 	{SnapshotInstalled, "snapshot_installed", "snapshot of the leader installed"},
 	{DiskFailed, "disk_failed", "disk write failed and the member stops"},
 	{TailCut, "tail_cut", "incomplete record cut from the end of the log"},
+	{GroupFounded, "group_founded", "all founders have empty data folders and the group was founded"},
+	{FoundingRefused, "founding_refused", "this data folder is empty but the group exists: remove this member and add it under a new id"},
 	{BadFrame, "bad_frame", "frame could not be read"},
 	{PeerConnected, "peer_connected", "connection to a control member opened"},
 	{PeerLost, "peer_lost", "connection to a control member lost"},
--- a/internal/lab/sim/member.go
+++ b/internal/lab/sim/member.go
@@ -59,9 +59,18 @@
 	m.every(probeInterval, m.probe)
 }
 
+// contacts returns the IDs of all members.
+func (w *World) contacts() []raft.MemberID {
+	var ids []raft.MemberID
+	for _, m := range w.members {
+		ids = append(ids, m.id)
+	}
+	return ids
+}
+
 func (m *member) open(founders []*beamdoorv1.Member) error {
 	random := m.world.newRandom()
-	identity, fresh, err := wal.LoadIdentity(m.disk, random.Uint64)
+	identity, err := wal.LoadIdentity(m.disk, random.Uint64)
 	if err != nil {
 		return err
 	}
@@ -70,15 +79,10 @@
 		return err
 	}
 	log.SkipSync = m.world.mechanisms.SkipSync
-	if fresh && founders != nil {
-		if restored, err = control.Bootstrap(founders); err != nil {
-			return err
-		}
-		if err = log.Rewrite(restored); err != nil {
-			return err
-		}
-	}
-	m.core, err = control.NewCore(m.now(), m.settings(identity, random), log, restored)
+	settings := m.settings(identity, random)
+	settings.Founders = founders
+	settings.Contacts = m.world.contacts()
+	m.core, err = control.NewCore(m.now(), settings, log, restored)
 	return err
 }
 
--- a/internal/lab/sim/operator.go
+++ b/internal/lab/sim/operator.go
@@ -212,16 +212,18 @@
 }
 
 // changeMembers proposes a change of the control membership at the leader and
-// tries again until it is made.
-func (o *operators) changeMembers(change func(raft.Membership) (raft.Membership, bool), done func()) {
+// tries again until it is made. The change returns false while it is not
+// possible.
+func (o *operators) changeMembers(made func(raft.Membership) bool, change func(*member) (raft.Membership, bool), done func()) {
 	leader := o.world.leader()
+	if leader != nil && made(leader.core.Raft().Membership()) {
+		done()
+		return
+	}
 	if leader != nil {
-		next, needed := change(leader.core.Raft().Membership())
-		if !needed {
-			done()
-			return
+		if next, possible := change(leader); possible {
+			leader.carryOut(leader.core.ProposeMembership(leader.now(), 0, next))
 		}
-		leader.carryOut(leader.core.ProposeMembership(leader.now(), 0, next))
 	}
-	o.world.clock.After(resendWait, func() { o.changeMembers(change, done) })
+	o.world.clock.After(resendWait, func() { o.changeMembers(made, change, done) })
 }
--- a/internal/lab/sim/scenario_control.go
+++ b/internal/lab/sim/scenario_control.go
@@ -246,19 +246,28 @@
 		added := newMember(w, newID)
 		w.members = append(w.members, added)
 		added.boot(nil)
-		w.operators.changeMembers(func(m raft.Membership) (raft.Membership, bool) {
-			return m.AddLearner(newID), !m.Contains(newID)
-		}, func() {
-			w.operators.changeMembers(func(m raft.Membership) (raft.Membership, bool) {
-				return m.Promote(newID), !m.IsVoter(newID)
-			}, func() { w.removeMember(lost, done) })
-		})
+		w.operators.changeMembers(func(m raft.Membership) bool {
+			return m.Contains(newID)
+		}, func(leader *member) (raft.Membership, bool) {
+			identity, heard := leader.core.LearnerIdentity(leader.now(), newID)
+			return leader.core.Raft().Membership().AddLearner(newID, identity), heard
+		}, func() { w.promote(newID, func() { w.removeMember(lost, done) }) })
 	})
 }
 
+func (w *World) promote(id raft.MemberID, done func()) {
+	w.operators.changeMembers(func(m raft.Membership) bool {
+		return m.IsVoter(id)
+	}, func(leader *member) (raft.Membership, bool) {
+		return leader.core.Raft().Membership().Promote(id), true
+	}, done)
+}
+
 func (w *World) removeMember(lost *member, done func()) {
-	w.operators.changeMembers(func(m raft.Membership) (raft.Membership, bool) {
-		return m.Remove(lost.id), m.Contains(lost.id)
+	w.operators.changeMembers(func(m raft.Membership) bool {
+		return !m.Contains(lost.id)
+	}, func(leader *member) (raft.Membership, bool) {
+		return leader.core.Raft().Membership().Remove(lost.id), true
 	}, func() {
 		lost.die()
 		var left []*member
--- /dev/null
+++ b/internal/raft/membership.go
@@ -0,0 +1,150 @@
+package raft
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+// Membership is the set of members at one point of the log. It also holds the
+// identity of each member's data folder: a member that lost its disk has
+// forgotten its votes and what it acknowledged, and comes back with another
+// identity, so that nobody who knows it as a member counts it.
+type Membership struct {
+	Voters     []MemberID
+	Learners   []MemberID
+	Identities map[MemberID]uint64
+	// Highest is the highest ID that any member has had.
+	Highest MemberID
+}
+
+// NewMembership returns the membership of a new group of voters.
+func NewMembership(identities map[MemberID]uint64) Membership {
+	var membership Membership
+	for _, id := range slices.Sorted(maps.Keys(identities)) {
+		membership = membership.AddLearner(id, identities[id]).Promote(id)
+	}
+	return membership
+}
+
+// IsVoter reports whether the member votes.
+func (m Membership) IsVoter(id MemberID) bool { return slices.Contains(m.Voters, id) }
+
+// Contains reports whether the member votes or learns.
+func (m Membership) Contains(id MemberID) bool {
+	return m.IsVoter(id) || slices.Contains(m.Learners, id)
+}
+
+// Quorum returns the number of voters that decide.
+func (m Membership) Quorum() int { return len(m.Voters)/2 + 1 }
+
+func without(list []MemberID, id MemberID) []MemberID {
+	var rest []MemberID
+	for _, member := range list {
+		if member != id {
+			rest = append(rest, member)
+		}
+	}
+	return rest
+}
+
+func with(list []MemberID, id MemberID) []MemberID {
+	if slices.Contains(list, id) {
+		return list
+	}
+	return append(slices.Clone(list), id)
+}
+
+// AddLearner returns the membership with one more learner.
+func (m Membership) AddLearner(id MemberID, identity uint64) Membership {
+	if m.Contains(id) {
+		return m
+	}
+	identities := maps.Clone(m.Identities)
+	if identities == nil {
+		identities = map[MemberID]uint64{}
+	}
+	identities[id] = identity
+	return Membership{
+		Voters:     m.Voters,
+		Learners:   with(m.Learners, id),
+		Identities: identities,
+		Highest:    max(m.Highest, id),
+	}
+}
+
+// Promote returns the membership with a learner made a voter.
+func (m Membership) Promote(id MemberID) Membership {
+	m.Voters = with(m.Voters, id)
+	m.Learners = without(m.Learners, id)
+	return m
+}
+
+// Remove returns the membership without the member.
+func (m Membership) Remove(id MemberID) Membership {
+	m.Voters = without(m.Voters, id)
+	m.Learners = without(m.Learners, id)
+	m.Identities = maps.Clone(m.Identities)
+	delete(m.Identities, id)
+	return m
+}
+
+const (
+	memberSize   = 4
+	identitySize = 12
+)
+
+func encodeMembers(encoder *wire.Encoder, members []MemberID) {
+	encoder.Uint32(uint32(len(members)))
+	for _, member := range members {
+		encoder.Uint32(uint32(member))
+	}
+}
+
+func decodeMembers(decoder *wire.Decoder) []MemberID {
+	var members []MemberID
+	for count := decoder.Count(memberSize); count > 0; count-- {
+		members = append(members, MemberID(decoder.Uint32()))
+	}
+	return members
+}
+
+func (m Membership) encode(encoder *wire.Encoder) {
+	encodeMembers(encoder, m.Voters)
+	encodeMembers(encoder, m.Learners)
+	encoder.Uint32(uint32(len(m.Identities)))
+	for _, id := range slices.Sorted(maps.Keys(m.Identities)) {
+		encoder.Uint32(uint32(id))
+		encoder.Uint64(m.Identities[id])
+	}
+	encoder.Uint32(uint32(m.Highest))
+}
+
+func decodeMembership(decoder *wire.Decoder) Membership {
+	membership := Membership{Voters: decodeMembers(decoder), Learners: decodeMembers(decoder)}
+	count := decoder.Count(identitySize)
+	if count > 0 {
+		membership.Identities = make(map[MemberID]uint64, count)
+	}
+	for ; count > 0; count-- {
+		id := MemberID(decoder.Uint32())
+		membership.Identities[id] = decoder.Uint64()
+	}
+	membership.Highest = MemberID(decoder.Uint32())
+	return membership
+}
+
+// EncodeMembership returns the data of an EntryMembership.
+func EncodeMembership(membership Membership) []byte {
+	var encoder wire.Encoder
+	membership.encode(&encoder)
+	return encoder.Buffer
+}
+
+// DecodeMembership reads the data of an EntryMembership.
+func DecodeMembership(data []byte) (Membership, error) {
+	decoder := wire.NewDecoder(data)
+	membership := decodeMembership(decoder)
+	return membership, decoder.Err("raft.decode_membership")
+}
--- a/internal/raft/message.go
+++ b/internal/raft/message.go
@@ -75,7 +75,8 @@
 	From MemberID
 	To   MemberID
 	// Identity is the random number of the sender's data folder. A member
-	// that lost its disk has another one and is not listened to.
+	// that lost its disk has another one than the membership says and is not
+	// listened to.
 	Identity uint64
 	Term     uint64
 	// LogIndex and LogTerm describe the entry before Entries, the last entry
@@ -95,105 +96,6 @@
 	Membership Membership
 }
 
-// Membership is the set of members at one point of the log.
-type Membership struct {
-	Voters   []MemberID
-	Learners []MemberID
-}
-
-// IsVoter reports whether the member votes.
-func (m Membership) IsVoter(id MemberID) bool { return contains(m.Voters, id) }
-
-// Contains reports whether the member votes or learns.
-func (m Membership) Contains(id MemberID) bool {
-	return contains(m.Voters, id) || contains(m.Learners, id)
-}
-
-// Quorum returns the number of voters that decide.
-func (m Membership) Quorum() int { return len(m.Voters)/2 + 1 }
-
-func contains(list []MemberID, id MemberID) bool {
-	for _, member := range list {
-		if member == id {
-			return true
-		}
-	}
-	return false
-}
-
-func without(list []MemberID, id MemberID) []MemberID {
-	var rest []MemberID
-	for _, member := range list {
-		if member != id {
-			rest = append(rest, member)
-		}
-	}
-	return rest
-}
-
-func with(list []MemberID, id MemberID) []MemberID {
-	if contains(list, id) {
-		return list
-	}
-	return append(append([]MemberID{}, list...), id)
-}
-
-// AddLearner returns the membership with one more learner.
-func (m Membership) AddLearner(id MemberID) Membership {
-	if m.Contains(id) {
-		return m
-	}
-	return Membership{Voters: m.Voters, Learners: with(m.Learners, id)}
-}
-
-// Promote returns the membership with a learner made a voter.
-func (m Membership) Promote(id MemberID) Membership {
-	return Membership{Voters: with(m.Voters, id), Learners: without(m.Learners, id)}
-}
-
-// Remove returns the membership without the member.
-func (m Membership) Remove(id MemberID) Membership {
-	return Membership{Voters: without(m.Voters, id), Learners: without(m.Learners, id)}
-}
-
-func encodeMembers(encoder *wire.Encoder, members []MemberID) {
-	encoder.Uint32(uint32(len(members)))
-	for _, member := range members {
-		encoder.Uint32(uint32(member))
-	}
-}
-
-func decodeMembers(decoder *wire.Decoder) []MemberID {
-	var members []MemberID
-	for count := decoder.Count(4); count > 0; count-- {
-		members = append(members, MemberID(decoder.Uint32()))
-	}
-	return members
-}
-
-func (m Membership) encode(encoder *wire.Encoder) {
-	encodeMembers(encoder, m.Voters)
-	encodeMembers(encoder, m.Learners)
-}
-
-func decodeMembership(decoder *wire.Decoder) Membership {
-	return Membership{Voters: decodeMembers(decoder), Learners: decodeMembers(decoder)}
-}
-
-// EncodeMembership returns the data of an EntryMembership.
-func EncodeMembership(membership Membership) []byte {
-	var encoder wire.Encoder
-	membership.encode(&encoder)
-	return encoder.Buffer
-}
-
-// DecodeMembership reads the data of an EntryMembership.
-func DecodeMembership(data []byte) (Membership, error) {
-	decoder := wire.NewDecoder(data)
-	membership := decodeMembership(decoder)
-	return membership, decoder.Err("raft.decode_membership")
-}
-
 // EncodeEntry returns the bytes of one entry, for the disk and the network.
 func EncodeEntry(entry Entry) []byte {
 	var encoder wire.Encoder
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -75,19 +75,16 @@
 	HardState HardState
 	Snapshot  Snapshot
 	Entries   []Entry
-	// Pins are the identities of the other members' data folders.
-	Pins map[MemberID]uint64
 }
 
 // Ready is work for the caller, in this order: persist Snapshot, Entries,
-// HardState and Pins and sync; call Advance; send Messages; restore Snapshot
+// HardState and sync; call Advance; send Messages; restore Snapshot
 // into the state machine; apply Committed.
 type Ready struct {
 	HardState        HardState
 	HardStateChanged bool
 	Snapshot         *Snapshot
 	Entries          []Entry
-	Pins             map[MemberID]uint64
 	Messages         []Message
 	Committed        []Entry
 }
@@ -109,7 +106,6 @@
 	settings Settings
 	log      entryLog
 	hard     HardState
-	pins     map[MemberID]uint64
 
 	role          Role
 	leader        MemberID
@@ -130,7 +126,6 @@
 	incoming      incomingSnapshot
 
 	hardChanged bool
-	pinsChanged bool
 	unsavedFrom uint64
 	newSnapshot *Snapshot
 	outbox      []Message
@@ -142,12 +137,8 @@
 	node := &Node{
 		settings:  settings,
 		hard:      restored.HardState,
-		pins:      map[MemberID]uint64{},
 		startedAt: now,
 	}
-	for member, identity := range restored.Pins {
-		node.pins[member] = identity
-	}
 	node.log.snapshot = restored.Snapshot
 	node.log.entries = append(node.log.entries, restored.Entries...)
 	node.commit = restored.Snapshot.Index
@@ -212,7 +203,7 @@
 
 // Step handles a message from another member.
 func (n *Node) Step(now kernel.Instant, message Message) {
-	if !n.checkIdentity(message) {
+	if !n.isGenuine(message) {
 		n.ignored++
 		return
 	}
@@ -237,20 +228,15 @@
 	}
 }
 
-// checkIdentity pins the identity of a member's data folder at the first
-// message and refuses every other one afterwards: a member that lost its disk
-// has forgotten its votes and must come back under a new ID.
-func (n *Node) checkIdentity(message Message) bool {
+// isGenuine reports whether a message comes from the data folder that the
+// membership names for its sender. Of a sender that is in no membership here
+// nothing is known, and it counts for nothing either.
+func (n *Node) isGenuine(message Message) bool {
 	if n.settings.Mechanisms.NoIdentity {
 		return true
 	}
-	pinned, known := n.pins[message.From]
-	if known {
-		return pinned == message.Identity
-	}
-	n.pins[message.From] = message.Identity
-	n.pinsChanged = true
-	return true
+	identity, known := n.membership.Identities[message.From]
+	return !known || identity == message.Identity
 }
 
 // raisesTerm reports whether the message's higher term is to be adopted.
@@ -356,7 +342,7 @@
 
 // HasReady reports whether Ready would return work.
 func (n *Node) HasReady() bool {
-	return n.hardChanged || n.pinsChanged || n.unsavedFrom != 0 || n.newSnapshot != nil ||
+	return n.hardChanged || n.unsavedFrom != 0 || n.newSnapshot != nil ||
 		len(n.outbox) > 0 || n.applied < n.commit
 }
 
@@ -368,9 +354,6 @@
 		Snapshot:         n.newSnapshot,
 		Messages:         n.outbox,
 	}
-	if n.pinsChanged {
-		ready.Pins = n.pins
-	}
 	if n.unsavedFrom != 0 {
 		ready.Entries = append(ready.Entries, n.log.slice(n.unsavedFrom, n.log.lastIndex())...)
 	}
@@ -379,7 +362,6 @@
 		n.applied = n.commit
 	}
 	n.hardChanged = false
-	n.pinsChanged = false
 	n.unsavedFrom = 0
 	n.newSnapshot = nil
 	n.outbox = nil
@@ -416,7 +398,7 @@
 
 // Restored returns all that the disk must hold, for a rewrite of the log.
 func (n *Node) Restored() Restored {
-	return Restored{HardState: n.hard, Snapshot: n.log.snapshot, Entries: n.log.entries, Pins: n.pins}
+	return Restored{HardState: n.hard, Snapshot: n.log.snapshot, Entries: n.log.entries}
 }
 
 func (n *Node) send(message Message) {
--- a/internal/wal/reader.go
+++ b/internal/wal/reader.go
@@ -110,8 +110,7 @@
 		}
 	case recordHardState:
 		r.restored.HardState, err = decodeHardState(payload)
-	case recordPins:
-		r.restored.Pins, err = decodePins(payload)
+	case recordMarker:
 	default:
 		err = steperror.New("wal.apply", "", fmt.Sprintf("unknown record kind %d", kind))
 	}
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -14,7 +14,9 @@
 const (
 	recordEntry recordKind = iota + 1
 	recordHardState
-	recordPins
+	// recordMarker follows a batch that was synced. It holds nothing; it tells
+	// a record before it that has gone bad from one that was never whole.
+	recordMarker
 	recordSnapshot
 )
 
@@ -79,28 +81,6 @@
 	return state, decoder.Err("wal.decode_hard_state")
 }
 
-func encodePins(pins map[raft.MemberID]uint64) []byte {
-	var encoder wire.Encoder
-	encoder.Uint32(uint32(len(pins)))
-	for member, identity := range pins {
-		encoder.Uint32(uint32(member))
-		encoder.Uint64(identity)
-	}
-	return encoder.Buffer
-}
-
-const pinSize = 12
-
-func decodePins(data []byte) (map[raft.MemberID]uint64, error) {
-	decoder := wire.NewDecoder(data)
-	pins := map[raft.MemberID]uint64{}
-	for count := decoder.Count(pinSize); count > 0; count-- {
-		member := raft.MemberID(decoder.Uint32())
-		pins[member] = decoder.Uint64()
-	}
-	return pins, decoder.Err("wal.decode_pins")
-}
-
 func encodeSnapshot(snapshot raft.Snapshot) []byte {
 	var encoder wire.Encoder
 	encoder.Uint64(snapshot.Index)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -48,7 +48,7 @@
 // Damage anywhere but at the very end is an error: acknowledged entries may
 // be gone, and the member must be replaced rather than guess.
 func Open(files FileSystem) (*Log, raft.Restored, Report, error) {
-	reader := &reader{files: files, restored: raft.Restored{Pins: map[raft.MemberID]uint64{}}}
+	reader := &reader{files: files}
 	if err := reader.read(); err != nil {
 		return nil, raft.Restored{}, reader.report, err
 	}
@@ -66,7 +66,7 @@
 
 // Verify reads the folder without changing it.
 func Verify(files FileSystem) (raft.Restored, Report, error) {
-	reader := &reader{files: files, restored: raft.Restored{Pins: map[raft.MemberID]uint64{}}}
+	reader := &reader{files: files}
 	err := reader.read()
 	return reader.restored, reader.report, err
 }
@@ -101,16 +101,23 @@
 	if ready.HardStateChanged {
 		buffer = appendRecord(buffer, recordHardState, encodeHardState(ready.HardState))
 	}
-	if ready.Pins != nil {
-		buffer = appendRecord(buffer, recordPins, encodePins(ready.Pins))
-	}
 	if len(buffer) == 0 {
 		return nil
 	}
 	if _, err := l.segment.Write(buffer); err != nil {
 		return l.fail(steperror.Wrap("wal.append", "", err))
 	}
-	return l.fail(steperror.Wrap("wal.sync", "", l.sync(l.segment)))
+	if err := l.sync(l.segment); err != nil {
+		return l.fail(steperror.Wrap("wal.sync", "", err))
+	}
+	return l.mark()
+}
+
+// mark notes that all before was synced. The marker itself is not: when it is
+// lost, the last batch is taken for one that may not have been.
+func (l *Log) mark() error {
+	_, err := l.segment.Write(appendRecord(nil, recordMarker, nil))
+	return l.fail(steperror.Wrap("wal.mark", "", err))
 }
 
 func (l *Log) sync(file File) error {
@@ -168,7 +175,6 @@
 		return steperror.Wrap(step, name, err)
 	}
 	buffer := appendRecord(nil, recordHardState, encodeHardState(whole.HardState))
-	buffer = appendRecord(buffer, recordPins, encodePins(whole.Pins))
 	for _, entry := range whole.Entries {
 		buffer = appendRecord(buffer, recordEntry, raft.EncodeEntry(entry))
 	}
@@ -210,12 +216,12 @@
 func (l *Log) Close() error { return l.segment.Close() }
 
 // LoadIdentity returns the random number of the data folder, and draws one
-// when the folder is new. The second result reports a new folder.
-func LoadIdentity(files FileSystem, draw func() uint64) (uint64, bool, error) {
+// when the folder is new.
+func LoadIdentity(files FileSystem, draw func() uint64) (uint64, error) {
 	const step = "wal.identity"
 	names, err := files.List()
 	if err != nil {
-		return 0, false, steperror.Wrap(step, "", err)
+		return 0, steperror.Wrap(step, "", err)
 	}
 	for _, name := range names {
 		if name != identityName {
@@ -223,14 +229,14 @@
 		}
 		data, err := files.ReadFile(identityName)
 		if err != nil {
-			return 0, false, steperror.Wrap(step, "", err)
+			return 0, steperror.Wrap(step, "", err)
 		}
 		decoder := wire.NewDecoder(data)
 		identity := decoder.Uint64()
-		return identity, false, decoder.Err(step)
+		return identity, decoder.Err(step)
 	}
 	identity, err := writeIdentity(files, draw())
-	return identity, true, steperror.Wrap(step, "", err)
+	return identity, steperror.Wrap(step, "", err)
 }
 
 func writeIdentity(files FileSystem, identity uint64) (uint64, error) {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -27,6 +27,8 @@
 	FrameGrant
 	// FrameConfig holds a CellConfig in protobuf.
 	FrameConfig
+	// FrameHello holds the introduction of one control member to another.
+	FrameHello
 )
 
 // Frame is one message on a TCP connection.
@@ -66,6 +68,30 @@
 	return Frame{Kind: FrameKind(header[frameHeader-1]), Payload: payload}, nil
 }
 
+// Hello introduces a control member that belongs to no group yet, or answers
+// one.
+type Hello struct {
+	// Identity is the random number of the sender's data folder.
+	Identity uint64
+	// Empty says that the data folder holds no state of a group.
+	Empty bool
+}
+
+// HelloFrame returns the frame of an introduction.
+func HelloFrame(hello Hello) Frame {
+	var encoder Encoder
+	encoder.Uint64(hello.Identity)
+	encoder.Bool(hello.Empty)
+	return Frame{Kind: FrameHello, Payload: encoder.Buffer}
+}
+
+// DecodeHello reads an introduction.
+func DecodeHello(payload []byte) (Hello, error) {
+	decoder := NewDecoder(payload)
+	hello := Hello{Identity: decoder.Uint64(), Empty: decoder.Bool()}
+	return hello, decoder.Err("wire.decode_hello")
+}
+
 // ReportFrame returns the frame of one report.
 func ReportFrame(report NodeReport) Frame {
 	var encoder Encoder
