--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -98,7 +98,7 @@
 	{PacketRefused, "packet_refused", "packet refused"},
 	{ControlLost, "control_lost", "connection to the control plane lost"},
 	{ControlConnected, "control_connected", "connection to the control plane opened"},
-	{FlowTableFull, "flow_table_full", "flow table is full and the oldest idle flow was dropped"},
+	{FlowTableFull, "flow_table_full", "flow table is full and new flows are not kept here"},
 	{RequestUnknown, "request_unknown", "request ended with unknown outcome"},
 	{SocketFailed, "socket_failed", "socket operation failed"},
 	{DrainLingerExpired, "drain_linger_expired", "stop forced before all work under way was done"},
--- a/internal/lab/sim/disk.go
+++ b/internal/lab/disk/disk.go
@@ -1,4 +1,6 @@
-package sim
+// Package disk provides an emulated folder that loses in a crash what was not
+// synced, fills up, and fails to sync.
+package disk
 
 import (
 	"errors"
@@ -21,26 +23,28 @@
 	synced int
 }
 
-// disk is a folder that loses in a crash what was not synced: the tail of a
+// Disk is a folder that loses in a crash what was not synced: the tail of a
 // file, and the creation, renaming or removal of one.
-type disk struct {
-	random    *rand.Rand
-	files     map[string]*diskFile
-	lasting   map[string]*diskFile
-	full      bool
-	failSyncs bool
-	lost      int
+type Disk struct {
+	// Full makes writes fail, and FailSyncs makes syncs fail.
+	Full      bool
+	FailSyncs bool
+
+	random  *rand.Rand
+	files   map[string]*diskFile
+	lasting map[string]*diskFile
 }
 
-var _ wal.FileSystem = (*disk)(nil)
+var _ wal.FileSystem = (*Disk)(nil)
 
-func newDisk(random *rand.Rand) *disk {
-	return &disk{random: random, files: map[string]*diskFile{}, lasting: map[string]*diskFile{}}
+// New returns an empty folder.
+func New(random *rand.Rand) *Disk {
+	return &Disk{random: random, files: map[string]*diskFile{}, lasting: map[string]*diskFile{}}
 }
 
-// crash keeps what was synced and a random part of what was not; the last
+// Crash keeps what was synced and a random part of what was not; the last
 // byte of a torn tail may be wrong.
-func (d *disk) crash() {
+func (d *Disk) Crash() {
 	d.files = map[string]*diskFile{}
 	for _, name := range sortedNames(d.lasting) {
 		file := d.lasting[name]
@@ -50,19 +54,18 @@
 			continue
 		}
 		kept := d.random.IntN(loose + 1)
-		d.lost += loose - kept
 		file.data = file.data[:file.synced+kept]
 		if kept > 0 && d.random.IntN(2) == 0 {
 			file.data[len(file.data)-1] ^= 1 << d.random.IntN(8)
 		}
 		file.synced = len(file.data)
 	}
-	d.full = false
-	d.failSyncs = false
+	d.Full = false
+	d.FailSyncs = false
 }
 
-// wipe loses everything.
-func (d *disk) wipe() {
+// Wipe loses everything.
+func (d *Disk) Wipe() {
 	d.files = map[string]*diskFile{}
 	d.lasting = map[string]*diskFile{}
 }
@@ -78,13 +81,13 @@
 
 // openFile is an open file of a disk.
 type openFile struct {
-	disk *disk
+	disk *Disk
 	file *diskFile
 }
 
 // Write implements wal.File.
 func (f *openFile) Write(data []byte) (int, error) {
-	if f.disk.full {
+	if f.disk.Full {
 		half := len(data) / 2
 		f.file.data = append(f.file.data, data[:half]...)
 		return half, errDiskFull
@@ -95,7 +98,7 @@
 
 // Sync implements wal.File.
 func (f *openFile) Sync() error {
-	if f.disk.failSyncs {
+	if f.disk.FailSyncs {
 		return errSyncFailed
 	}
 	f.file.synced = len(f.file.data)
@@ -106,8 +109,8 @@
 func (f *openFile) Close() error { return nil }
 
 // Create implements wal.FileSystem.
-func (d *disk) Create(name string) (wal.File, error) {
-	if d.full {
+func (d *Disk) Create(name string) (wal.File, error) {
+	if d.Full {
 		return nil, errDiskFull
 	}
 	file := &diskFile{}
@@ -116,7 +119,7 @@
 }
 
 // OpenAppend implements wal.FileSystem.
-func (d *disk) OpenAppend(name string) (wal.File, error) {
+func (d *Disk) OpenAppend(name string) (wal.File, error) {
 	file, known := d.files[name]
 	if !known {
 		return nil, fs.ErrNotExist
@@ -125,7 +128,7 @@
 }
 
 // ReadFile implements wal.FileSystem.
-func (d *disk) ReadFile(name string) ([]byte, error) {
+func (d *Disk) ReadFile(name string) ([]byte, error) {
 	file, known := d.files[name]
 	if !known {
 		return nil, fs.ErrNotExist
@@ -134,7 +137,7 @@
 }
 
 // Truncate implements wal.FileSystem.
-func (d *disk) Truncate(name string, size int64) error {
+func (d *Disk) Truncate(name string, size int64) error {
 	file, known := d.files[name]
 	if !known {
 		return fs.ErrNotExist
@@ -145,10 +148,10 @@
 }
 
 // List implements wal.FileSystem.
-func (d *disk) List() ([]string, error) { return sortedNames(d.files), nil }
+func (d *Disk) List() ([]string, error) { return sortedNames(d.files), nil }
 
 // Rename implements wal.FileSystem.
-func (d *disk) Rename(oldName, newName string) error {
+func (d *Disk) Rename(oldName, newName string) error {
 	file, known := d.files[oldName]
 	if !known {
 		return fs.ErrNotExist
@@ -159,14 +162,14 @@
 }
 
 // Remove implements wal.FileSystem.
-func (d *disk) Remove(name string) error {
+func (d *Disk) Remove(name string) error {
 	delete(d.files, name)
 	return nil
 }
 
 // SyncFolder implements wal.FileSystem.
-func (d *disk) SyncFolder() error {
-	if d.failSyncs {
+func (d *Disk) SyncFolder() error {
+	if d.FailSyncs {
 		return errSyncFailed
 	}
 	d.lasting = make(map[string]*diskFile, len(d.files))
@@ -175,3 +178,12 @@
 	}
 	return nil
 }
+
+// Flip changes one bit of a file, as on a disk that goes bad.
+func (d *Disk) Flip(name string, offset int) {
+	file := d.files[name]
+	file.data[offset] ^= 1
+}
+
+// Size returns the size of a file in bytes.
+func (d *Disk) Size(name string) int { return len(d.files[name].data) }
--- a/internal/lab/sim/member.go
+++ b/internal/lab/sim/member.go
@@ -7,6 +7,7 @@
 
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/control"
+	"github.com/beamdoor/beamdoor/internal/lab/disk"
 	"github.com/beamdoor/beamdoor/internal/raft"
 	"github.com/beamdoor/beamdoor/internal/wal"
 	"github.com/beamdoor/beamdoor/internal/wire"
@@ -22,7 +23,7 @@
 type member struct {
 	process
 	id          raft.MemberID
-	disk        *disk
+	disk        *disk.Disk
 	core        *control.Core
 	judge       *control.Judge
 	policies    control.Policies
@@ -39,7 +40,7 @@
 	return &member{
 		process: process{place: place{name, world.setup.zone(int(id))}, world: world, clockRate: 1},
 		id:      id,
-		disk:    newDisk(world.newRandom()),
+		disk:    disk.New(world.newRandom()),
 	}
 }
 
@@ -104,7 +105,7 @@
 		m.world.trace("%s crashes", m.name)
 	}
 	m.die()
-	m.disk.crash()
+	m.disk.Crash()
 }
 
 // carryOut does what the core wants done.
--- a/internal/lab/sim/scenario_control.go
+++ b/internal/lab/sim/scenario_control.go
@@ -210,7 +210,7 @@
 func (w *World) wipe(lost *member) {
 	w.trace("%s loses its disk", lost.name)
 	lost.die()
-	lost.disk.wipe()
+	lost.disk.Wipe()
 	if w.random.IntN(2) == 0 {
 		w.killMember(w.leader(), w.between(4*time.Second, 8*time.Second))
 	}
@@ -235,7 +235,7 @@
 			lost = w.leader()
 		}
 		lost.crash()
-		lost.disk.wipe()
+		lost.disk.Wipe()
 		w.replace(lost, newID, done)
 	})
 }
@@ -323,13 +323,13 @@
 	if m == nil {
 		return
 	}
-	m.disk.full = w.random.IntN(2) == 0
-	m.disk.failSyncs = !m.disk.full
-	w.trace("the disk of %s breaks: full %v", m.name, m.disk.full)
+	m.disk.Full = w.random.IntN(2) == 0
+	m.disk.FailSyncs = !m.disk.Full
+	w.trace("the disk of %s breaks: full %v", m.name, m.disk.Full)
 	w.clock.After(w.between(2*time.Second, 5*time.Second), func() {
 		if m.up && m.failure == nil {
-			m.disk.full = false
-			m.disk.failSyncs = false
+			m.disk.Full = false
+			m.disk.FailSyncs = false
 			return
 		}
 		m.crash()
--- a/internal/policy/builtin/least-load.star
+++ b/internal/policy/builtin/least-load.star
@@ -5,11 +5,11 @@
 def weight(target):
     slots = max(1, target.slots)
     busy = min(3 * slots, target.busy + target.queued)
-    load = 160 - 32 * busy // slots
+    share = 160 - 32 * busy // slots
     open_share = target.connections * 100 // max(1, target.capacity)
-    load = load - open_share * 60 // 100
+    share = share - open_share * 60 // 100
     if target.age_ms > 3000:
-        load = (load + 128) // 2
+        share = (share + 128) // 2
     if target.cold_start_ms > 0 and target.uptime_ms < target.cold_start_ms:
-        load = load * target.uptime_ms // target.cold_start_ms
-    return max(8, min(255, load))
+        share = share * target.uptime_ms // target.cold_start_ms
+    return max(8, min(255, share))
--- a/internal/routing/caller.go
+++ b/internal/routing/caller.go
@@ -34,8 +34,8 @@
 		r.refuseUnknownService(serviceAddress, caller, payload)
 		return
 	}
-	var work job
-	if !r.readJob(&work, owner, caller, payload) {
+	work := &r.callerJob
+	if !r.readJob(work, owner, caller, payload) {
 		r.counters.Malformed++
 		r.toCaller(owner, caller, coapmsg.Reset(payload))
 		return
@@ -44,7 +44,7 @@
 		r.toCaller(owner, caller, coapmsg.Reset(payload))
 		return
 	}
-	r.scheme.Route(r, &work)
+	r.scheme.Route(r, work)
 }
 
 // refuseUnknownService answers 4.04 to a request to an address that is no
@@ -66,9 +66,7 @@
 	if r.parser.Parse(payload) != nil {
 		return false
 	}
-	work.service = owner
-	work.caller = caller
-	work.payload = payload
+	*work = job{service: owner, caller: caller, payload: payload}
 	work.class = r.parser.Class()
 	work.fingerprint = Flow{Caller: caller, ServiceID: owner.id}.Fingerprint()
 	work.partition = PartitionOf(work.fingerprint)
--- a/internal/routing/coverage.go
+++ b/internal/routing/coverage.go
@@ -110,7 +110,6 @@
 
 func (c *coverage) coversFlows(partition int) bool    { return c.flows[partition] }
 func (c *coverage) coversRequests(partition int) bool { return c.requests[partition] }
-func (c *coverage) complete() bool                    { return c.missing == 0 }
 
 // recountPlaced counts anew the flows whose partitions this balancer is the
 // primary of.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -100,6 +100,8 @@
 	observers map[uint64]observer
 	parser    *coapmsg.Parser
 	actions   []Action
+	// callerJob is reused for each caller's packet.
+	callerJob job
 	counters  Counters
 	now       kernel.Instant
 
@@ -113,6 +115,8 @@
 	signalsTerm  uint64
 	signalsSeq   uint64
 	ownMessageID uint16
+	droppedNoted uint64
+	nextFullNote kernel.Instant
 }
 
 // NewRouter returns a router without a configuration.
@@ -342,9 +346,23 @@
 	r.flows.expire(now, r.idleTimeout, r.flowEnded)
 	r.coverage.tick(r)
 	r.handover.tick(r)
+	r.noteFullTable()
 	return r.actions
 }
 
+// fullTableInterval is the shortest time between two notes of a full table.
+const fullTableInterval = 10 * time.Second
+
+// noteFullTable logs that flows found no room since the last note.
+func (r *Router) noteFullTable() {
+	if r.flows.dropped == r.droppedNoted || r.now < r.nextFullNote {
+		return
+	}
+	r.nextFullNote = r.now.Add(fullTableInterval)
+	r.log(eventlog.FlowTableFull, "flows", r.flows.len(), "not_kept", r.flows.dropped-r.droppedNoted)
+	r.droppedNoted = r.flows.dropped
+}
+
 func (r *Router) idleTimeout(record flowRecord) time.Duration {
 	if owner := r.table.targets[record.targetID]; owner != nil && !owner.removed {
 		return owner.service.limits.idleTimeout
