--- a/internal/lab/backend/backend.go
+++ b/internal/lab/backend/backend.go
@@ -50,6 +50,8 @@
 	// NoServiceCheck serves packets of other services too, for tests.
 	NoServiceCheck bool
 	Seed           uint64
+	// Run identifies this run in the load report.
+	Run uint64
 }
 
 // Behaviour makes a back end misbehave.
@@ -341,6 +343,7 @@
 		Connections: uint32(open),
 		Shedding:    len(b.queue) >= b.settings.Queue,
 		UptimeMs:    uint64(now.Sub(b.started).Milliseconds()),
+		Run:         b.settings.Run,
 	}
 	if b.behaviour.Lie {
 		report.BusySlots, report.Queued, report.Connections, report.Shedding = 0, 0, 0, false
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -58,6 +58,7 @@
 	perTarget map[string]int
 	foreign   int
 	halved    []string
+	notes     []string
 	wholes    int
 }
 
@@ -80,6 +81,13 @@
 	r.counts[name]++
 }
 
+// Note keeps a line for the end of the report.
+func (r *Report) Note(line string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.notes = append(r.notes, line)
+}
+
 // FlowOpened notes a flow that is to stay open.
 func (r *Report) FlowOpened() {
 	r.mutex.Lock()
@@ -263,6 +271,12 @@
 	writeLatency(aligned, "request", r.latency)
 	writeLatency(aligned, "download", r.download)
 	_ = aligned.Flush()
+	for i, note := range r.notes {
+		if i == shownViolations {
+			break
+		}
+		fmt.Fprintln(writer, note)
+	}
 	for i, violation := range violations {
 		if i == shownViolations {
 			fmt.Fprintf(writer, "... and %d more\n", len(violations)-i)
--- a/internal/lab/sim/backend.go
+++ b/internal/lab/sim/backend.go
@@ -19,6 +19,8 @@
 	due      kernel.Instant
 	// drainedAt is when an operator was told that the drain is accepted, or 0.
 	drainedAt kernel.Instant
+	// drainRevision is the newest revision that changed its drain.
+	drainRevision uint64
 	// inForceAt is when the configuration that names it was in force, or 0.
 	inForceAt kernel.Instant
 	// diedAt is when it was last killed, or 0.
@@ -29,6 +31,7 @@
 func (b *backendProcess) run() {
 	b.start()
 	b.settings.Seed = b.world.random.Uint64()
+	b.settings.Run = b.settings.Seed
 	b.core = backend.New(b.now(), b.settings)
 	b.schedule()
 }
--- a/internal/lab/target/target.go
+++ b/internal/lab/target/target.go
@@ -76,6 +76,7 @@
 		return nil, steperror.Wrap(step, settings.Return, err)
 	}
 	settings.Backend.Service = target.service
+	settings.Backend.Run = uint64(target.started.UnixNano())
 	target.core = backend.New(target.now(), settings.Backend)
 	if settings.Journal != "" {
 		target.journal, err = os.OpenFile(settings.Journal, os.O_CREATE|os.O_WRONLY|os.O_APPEND, journalMode)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -86,6 +86,8 @@
 	draining    bool
 	weight      uint8
 	alive       bool
+	// run identifies the run of the target's process, 0 while it is not known.
+	run uint32
 	// removed says that the configuration no longer names the target; its open
 	// flows go on.
 	removed bool
@@ -341,15 +343,21 @@
 	return time.Duration(value) * time.Millisecond
 }
 
+// applySignal puts a verdict in force. It returns the target when all its
+// flows have ended: it died, or it started anew and knows them no more.
 func (t *table) applySignal(signal wire.TargetSignal) *target {
 	current := t.targets[signal.TargetID]
 	if current == nil {
 		return nil
 	}
 	died := current.alive && !signal.Alive
+	restarted := signal.Run != 0 && current.run != 0 && signal.Run != current.run
 	current.weight = signal.Weight
 	current.alive = signal.Alive
-	if died {
+	if signal.Run != 0 {
+		current.run = signal.Run
+	}
+	if died || restarted {
 		return current
 	}
 	return nil
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -111,6 +111,8 @@
 	Weight uint8
 	// Alive is false when the control plane holds the target for dead.
 	Alive bool
+	// Run identifies the run of the target's process; 0 is not known.
+	Run uint32
 }
 
 // Signals are the verdicts on all targets of a cell.
@@ -122,7 +124,7 @@
 	Targets  []TargetSignal
 }
 
-const signalSize = 6
+const signalSize = 10
 
 // EncodeSignals appends signals to the encoder.
 func EncodeSignals(encoder *Encoder, signals Signals) {
@@ -134,6 +136,7 @@
 		encoder.Uint32(signal.TargetID)
 		encoder.Uint8(signal.Weight)
 		encoder.Bool(signal.Alive)
+		encoder.Uint32(signal.Run)
 	}
 }
 
@@ -150,6 +153,7 @@
 			TargetID: decoder.Uint32(),
 			Weight:   decoder.Uint8(),
 			Alive:    decoder.Bool(),
+			Run:      decoder.Uint32(),
 		})
 	}
 	return signals
