Requests that move with their partition are ended by their decider

Change: the balancer that decided speaks, its backup does once it has left the view; handed-over records carry the deadline; the backup's flow counts as confirmed; the caller fetches each block by a request of its own.

--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -15,13 +15,13 @@
 	"github.com/plgd-dev/go-coap/v3/message"
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 	"github.com/plgd-dev/go-coap/v3/message/pool"
+	"github.com/plgd-dev/go-coap/v3/net/blockwise"
 	"github.com/plgd-dev/go-coap/v3/options"
 	"github.com/plgd-dev/go-coap/v3/pkg/runner/periodic"
 	"github.com/plgd-dev/go-coap/v3/udp"
 	"github.com/plgd-dev/go-coap/v3/udp/client"
 
 	"github.com/beamdoor/beamdoor/internal/coapmsg"
-	"github.com/beamdoor/beamdoor/internal/lab/backend"
 	"github.com/beamdoor/beamdoor/internal/lab/report"
 )
 
@@ -102,6 +102,7 @@
 	return udp.Dial(address,
 		options.WithTransmission(parallelRequests, acknowledgeTimeout, maxRetransmit, acknowledgeFactor),
 		options.WithPeriodicRunner(l.runner),
+		options.WithBlockwise(false, blockwise.SZX1024, requestGrace),
 		options.WithErrors(func(error) {}))
 }
 
@@ -295,33 +296,3 @@
 	flow.see(name)
 	return report.Done
 }
-
-func (l *Load) runDownloads(ctx context.Context, stop time.Time) {
-	for number := 0; time.Now().Before(stop); number++ {
-		l.download(ctx, fmt.Sprintf("name=certificate-%d", number))
-		time.Sleep(l.exponential(4))
-	}
-}
-
-func (l *Load) download(ctx context.Context, name string) {
-	connection, err := l.dial(l.settings.Documents)
-	if err != nil {
-		return
-	}
-	defer func() { _ = connection.Close() }()
-	attempt, cancel := context.WithTimeout(ctx, 2*requestGrace)
-	defer cancel()
-	start := time.Now()
-	response, err := connection.Get(attempt, "/document", message.Option{ID: message.URIQuery, Value: []byte(name)})
-	if err != nil {
-		problem := fmt.Sprintf("%v, begun at %s from %s", err, start.Format(time.StampMilli), connection.LocalAddr())
-		l.report.Download(problem, time.Since(start))
-		return
-	}
-	body, err := response.ReadBody()
-	problem := ""
-	if err != nil || !bytes.Equal(body, backend.Document(name)) {
-		problem = fmt.Sprintf("%v with %d bytes, err %v", response.Code(), len(body), err)
-	}
-	l.report.Download(problem, time.Since(start))
-}
--- a/internal/lab/sim/scenario_balancer.go
+++ b/internal/lab/sim/scenario_balancer.go
@@ -6,7 +6,8 @@
 	return []Scenario{
 		{
 			Name:    "kill-balancer",
-			Purpose: "a balancer dies",
+			Purpose: "a balancer dies, with many downloads under way",
+			tune:    func(p *Plan) { p.Downloads = 30 },
 			run: func(w *World) {
 				w.soon(func() { w.killBalancer(w.aliveBalancer(), 8*time.Second) })
 			},
--- a/internal/lab/sim/scenario_control.go
+++ b/internal/lab/sim/scenario_control.go
@@ -112,6 +112,24 @@
 				}
 			},
 		},
+		{
+			Name:    "deaf-leader",
+			Purpose: "the leader is heard by the other members but hears none of them",
+			run: func(w *World) {
+				w.race(2, 25*time.Second)
+				w.soon(func() {
+					leader := w.leader()
+					if leader == nil {
+						return
+					}
+					for _, m := range w.members {
+						if m != leader {
+							w.cutPair(m.name, leader.name, 15*time.Second)
+						}
+					}
+				})
+			},
+		},
 		{
 			Name:    "bad-disk",
 			Purpose: "disks fill up or fail to sync",
--- a/internal/routing/answer.go
+++ b/internal/routing/answer.go
@@ -107,7 +107,10 @@
 		}
 		return
 	}
-	if request.state == requestAnswered || request.state == requestRefused || request.targetID != packet.TargetID {
+	if request.state == requestAnswered || request.state == requestRefused {
+		return
+	}
+	if request.targetID != 0 && request.targetID != packet.TargetID {
 		return
 	}
 	if refusal && !packet.Flags.Has(wire.FlagFinal) && r.retry(packet.RequestKey, request, owner) {
@@ -167,8 +170,15 @@
 // requestExpired ends a request whose deadline has passed without an answer.
 func (r *Router) requestExpired(key uint64, request *requestRecord) { r.giveUp(key, request) }
 
-// giveUp answers "outcome unknown" at once. Only the primary speaks; the
-// backup marks its record.
+// speaksFor reports whether this balancer tells the caller of the request's
+// end: the decider does, also when the partition has moved on since, and the
+// backup does once the decider has left the view.
+func (r *Router) speaksFor(request *requestRecord) bool {
+	return request.decider == r.id || r.table.view.member(request.decider) == nil
+}
+
+// giveUp answers "outcome unknown" at once, or only marks the record when
+// another balancer speaks.
 func (r *Router) giveUp(key uint64, request *requestRecord) {
 	if r.settings.Mechanisms.UnsafeRetry && r.retryUnsafe(key, request) {
 		return
@@ -181,7 +191,7 @@
 	if owner == nil || packet == nil || r.table.view == nil {
 		return
 	}
-	if r.table.view.pairs[PartitionOf(request.flow)].primary != r.id {
+	if !r.speaksFor(request) {
 		return
 	}
 	if r.parser.Parse(packet) != nil {
--- a/internal/routing/backup.go
+++ b/internal/routing/backup.go
@@ -66,6 +66,7 @@
 		record = flowRecord{targetID: to.id}
 	}
 	record.registered = r.table.view.number
+	record.confirmed = lastSeenAt(r.now)
 	record.lastSeen = lastSeenAt(r.now)
 	r.flows.put(work.fingerprint, record)
 }
@@ -87,6 +88,7 @@
 	request := r.newRequest(work)
 	request.attempt = packet.Attempt
 	request.targetID = packet.TargetID
+	request.decider = packet.From
 	request.packet = append([]byte(nil), work.payload...)
 	if packet.Flags.Has(wire.FlagRefuse) {
 		request.state = requestRefused
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -28,7 +28,7 @@
 	// attemptBits is the place of the attempt below the state of a request.
 	attemptBits = 4
 	// forgetUnit and maxForget are the unit and the largest number of units of
-	// the time until a request is forgotten.
+	// the times until a request's deadline and until it is forgotten.
 	forgetUnit = 500 * time.Millisecond
 	maxForget  = 255
 	// handoverDoneBatch is the largest number of partitions in one message.
@@ -159,6 +159,7 @@
 		encoder.Uint16(uint16(PartitionOf(request.flow)))
 		encoder.Uint8(uint8(request.state)<<attemptBits | request.attempt)
 		encoder.Uint8(uint8(min(left/forgetUnit+1, maxForget)))
+		encoder.Uint8(uint8(min(max(0, request.deadline.Sub(r.now))/forgetUnit+1, maxForget)))
 	}
 	return encoder.Buffer
 }
@@ -283,6 +284,7 @@
 	partition := decoder.Uint16()
 	status := decoder.Uint8()
 	left := time.Duration(decoder.Uint8()) * forgetUnit
+	deadline := time.Duration(decoder.Uint8()) * forgetUnit
 	if decoder.Err("routing.handover") != nil || r.ledger.get(key) != nil {
 		return
 	}
@@ -291,8 +293,9 @@
 		state:   requestState(status >> attemptBits),
 		attempt: status & (1<<attemptBits - 1),
 		forget:  r.now.Add(left),
+
+		deadline: r.now.Add(deadline),
 	}
-	request.deadline = request.forget
 	if request.state == requestAnswered {
 		request.state = requestUnknown
 	}
--- a/internal/routing/primary.go
+++ b/internal/routing/primary.go
@@ -266,6 +266,7 @@
 	} else {
 		request.targetID = choice.to.id
 		request.packet = append([]byte(nil), work.payload...)
+		request.decider = r.id
 		request.tracked = true
 		choice.to.outstanding++
 		work.service.retries.earn()
--- a/internal/routing/request_test.go
+++ b/internal/routing/request_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/coapmsg"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
@@ -195,3 +196,33 @@
 	c.send(primary, callerAddress, request(t, codes.POST, 2, nil))
 	assert.Len(t, c.toTargets, 1, "the retransmission is a first attempt")
 }
+
+func TestDeciderSpeaksAlsoWhenThePartitionHasMoved(t *testing.T) {
+	c := newCell(t, 4, 3)
+	primary, backup, others := c.owners(callerAddress)
+	c.send(primary, callerAddress, request(t, codes.POST, 1, nil))
+	leaving := c.member(primary)
+	leaving.State = beamdoorv1.BalancerState_BALANCER_STATE_LEAVING
+	c.view = &beamdoorv1.View{Cell: 1, Number: 2, Members: []*beamdoorv1.Balancer{leaving, c.member(backup), c.member(others[0]), c.member(others[1])}}
+	c.configure()
+	c.pass(6 * time.Second)
+	require.Len(t, c.toCallers, 1, "one balancer speaks")
+	assert.Equal(t, codes.GatewayTimeout, c.lastCode())
+	for id := range c.routers {
+		c.send(id, callerAddress, request(t, codes.POST, 1, nil))
+	}
+	assert.Len(t, c.toTargets, 1)
+	assert.Equal(t, codes.GatewayTimeout, c.lastCode(), "the new owners know how it ended")
+}
+
+func TestBackupSpeaksForADeciderThatIsGone(t *testing.T) {
+	c := newCell(t, 4, 3)
+	primary, backup, others := c.owners(callerAddress)
+	c.send(primary, callerAddress, request(t, codes.POST, 1, nil))
+	c.cut[primary] = true
+	c.changeView(backup, others[0], others[1])
+	delete(c.routers, primary)
+	c.pass(6 * time.Second)
+	require.Len(t, c.toCallers, 1)
+	assert.Equal(t, codes.GatewayTimeout, c.lastCode())
+}
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -42,6 +42,9 @@
 	tracked bool
 	// relayedTo is the backup that got the request; only it may have forwarded it.
 	relayedTo uint32
+	// decider is the primary that decided on the request, 0 when it is not
+	// known any more. It tells the caller how the request ended.
+	decider uint32
 	// unsure says that the primary decided without all earlier records.
 	unsure bool
 	// packet is kept until the answer, for a retry.
