Balancers leave a control member that hears no leader

Change: package linkhealth judges a connection by frames and by answers that have a leader behind them; each member tried in vain doubles the patience, so that balancers do not run in circles while nobody leads.

--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -10,6 +10,7 @@
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/linkhealth"
 	"github.com/beamdoor/beamdoor/internal/ring"
 	"github.com/beamdoor/beamdoor/internal/routing"
 	"github.com/beamdoor/beamdoor/internal/steperror"
@@ -20,9 +21,6 @@
 	controlQueue   = 64
 	controlTimeout = time.Second
 	controlBackoff = 250 * time.Millisecond
-	// controlSilence is the longest time without a frame from the control
-	// member, two reports, before another one is tried.
-	controlSilence = 1600 * time.Millisecond
 )
 
 // controlLink is the connection to one control member at a time. It tries
@@ -31,6 +29,7 @@
 	process *Process
 	queue   *ring.Ring[wire.Frame]
 	next    int
+	health  linkhealth.Health
 }
 
 func newControlLink(process *Process) *controlLink {
@@ -91,18 +90,37 @@
 }
 
 func (l *controlLink) read(connection net.Conn) error {
+	const step = "balancer.control"
 	reader := bufio.NewReader(connection)
+	l.health.Opened(l.process.now())
 	for {
-		_ = connection.SetReadDeadline(time.Now().Add(controlSilence))
+		if l.health.Failed(l.process.now()) {
+			return steperror.New(step, connection.RemoteAddr().String(), "the member knows no leader")
+		}
+		_ = connection.SetReadDeadline(time.Now().Add(linkhealth.SilenceLimit))
 		frame, err := wire.ReadFrame(reader)
 		if err != nil {
 			return err
 		}
 		l.process.metrics.controlReceived.Add(float64(wire.FrameSize(frame)))
+		l.noteFrame(frame)
 		l.process.inputs.Push(controlInput{frame: frame})
 	}
 }
 
+func (l *controlLink) noteFrame(frame wire.Frame) {
+	now := l.process.now()
+	l.health.Heard(now)
+	if frame.Kind != wire.FrameGrant {
+		return
+	}
+	decoder := wire.NewDecoder(frame.Payload)
+	grant := wire.DecodeGrant(decoder)
+	if decoder.Err("balancer.grant") == nil {
+		l.health.Granted(now, grant)
+	}
+}
+
 // reconnectedInput says that the connection was opened.
 type reconnectedInput struct{}
 
--- a/internal/lab/sim/balancer.go
+++ b/internal/lab/sim/balancer.go
@@ -9,15 +9,13 @@
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/control"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/linkhealth"
 	"github.com/beamdoor/beamdoor/internal/proxyheader"
 	"github.com/beamdoor/beamdoor/internal/routing"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
-const (
-	controlSilence = 1600 * time.Millisecond
-	lingerQuiet    = 1500 * time.Millisecond
-)
+const lingerQuiet = 1500 * time.Millisecond
 
 // connection is one connection of a balancer to a control member.
 type connection struct {
@@ -26,7 +24,6 @@
 	member     *member
 	generation int
 	memberRun  int
-	heard      kernel.Instant
 }
 
 // balancer is an emulated balancer around the product's router.
@@ -35,6 +32,7 @@
 	peer       netip.AddrPort
 	router     *routing.Router
 	connection *connection
+	health     linkhealth.Health
 	nextMember int
 	leaving    bool
 	joined     bool
@@ -56,6 +54,7 @@
 	b.joined = false
 	b.revision = 0
 	b.connection = nil
+	b.health = linkhealth.Health{}
 	settings := routing.DefaultSettings()
 	settings.Name = b.name
 	settings.Zone = b.zone
@@ -103,7 +102,7 @@
 }
 
 func (b *balancer) tick() {
-	if b.connection != nil && b.now().Sub(b.connection.heard) > controlSilence {
+	if b.connection != nil && b.health.Failed(b.now()) {
 		b.hangUp()
 	}
 	if b.connection == nil {
@@ -146,8 +145,8 @@
 		member:     to,
 		generation: b.generation,
 		memberRun:  to.generation,
-		heard:      b.now(),
 	}
+	b.health.Opened(b.now())
 	b.carryOut(b.router.Reconnected(b.now()))
 }
 
@@ -187,17 +186,19 @@
 		if b.generation != c.generation || b.connection != c {
 			return
 		}
-		b.deliver(func() { b.receiveControl(c, frame) })
+		b.deliver(func() { b.receiveControl(frame) })
 	})
 }
 
-func (b *balancer) receiveControl(open *connection, frame wire.Frame) {
-	open.heard = b.now()
+func (b *balancer) receiveControl(frame wire.Frame) {
+	b.health.Heard(b.now())
 	b.received += uint64(wire.FrameSize(frame))
 	decoder := wire.NewDecoder(frame.Payload)
 	switch frame.Kind {
 	case wire.FrameGrant:
-		b.carryOut(b.router.HandleGrant(b.now(), wire.DecodeGrant(decoder)))
+		grant := wire.DecodeGrant(decoder)
+		b.health.Granted(b.now(), grant)
+		b.carryOut(b.router.HandleGrant(b.now(), grant))
 	case wire.FrameSignals:
 		b.carryOut(b.router.HandleSignals(b.now(), wire.DecodeSignals(decoder)))
 	case wire.FrameConfig:
--- /dev/null
+++ b/internal/linkhealth/linkhealth_test.go
@@ -0,0 +1,45 @@
+package linkhealth
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+func at(seconds float64) kernel.Instant {
+	return kernel.Instant(seconds * float64(time.Second))
+}
+
+func TestSilentMemberFails(t *testing.T) {
+	var health Health
+	health.Opened(at(0))
+	health.Heard(at(1))
+	health.Granted(at(1), wire.Grant{Revision: 1})
+	assert.False(t, health.Failed(at(2)))
+	assert.True(t, health.Failed(at(2.7)))
+}
+
+func TestMemberWithoutLeaderFailsLaterAndLater(t *testing.T) {
+	var health Health
+	waits := []float64{1.6, 3.2, 6.4, 12.8, 12.8}
+	now := 0.0
+	for _, wait := range waits {
+		health.Opened(at(now))
+		for passed := 0.0; passed < wait; passed += 0.4 {
+			health.Heard(at(now + passed))
+			health.Granted(at(now+passed), wire.Grant{})
+			assert.False(t, health.Failed(at(now+passed)), "after %v", passed)
+		}
+		now += wait + 0.1
+		health.Heard(at(now))
+		assert.True(t, health.Failed(at(now)))
+	}
+	health.Opened(at(now))
+	health.Granted(at(now), wire.Grant{Revision: 1})
+	health.Heard(at(now + 1.7))
+	assert.True(t, health.Failed(at(now+1.7)), "patience is short again after a leader's answer")
+}
