--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -3,17 +3,11 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
-	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
 
-	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
-	"github.com/beamdoor/beamdoor/api/beamdoor/v1/beamdoorv1connect"
-	"github.com/beamdoor/beamdoor/internal/steperror"
-	"github.com/beamdoor/beamdoor/internal/store"
+	"github.com/beamdoor/beamdoor/internal/adminclient"
 )
 
 // Exit codes of the program, for scripts.
@@ -57,87 +51,27 @@
 	return ExitFailed
 }
 
-const retryPause = 150 * time.Millisecond
-
-// client calls the administration API on whichever control member leads.
-type client struct {
-	addresses []string
-	timeout   time.Duration
-	http      *http.Client
-	leader    string
-}
-
-func newClient(addresses []string, timeout time.Duration) *client {
-	return &client{addresses: addresses, timeout: timeout, http: &http.Client{}}
-}
-
-func newRequestID() []byte {
-	id := make([]byte, store.RequestIDSize)
-	_, _ = rand.Read(id)
-	return id
-}
-
-// call runs one request, and again on another member while it is not known to
-// have been answered. That is safe for writes because each carries the same
-// request identity every time.
-func call[T any](ctx context.Context, c *client, run func(context.Context, beamdoorv1connect.AdminServiceClient) (*connect.Response[T], error)) (*T, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	var last error
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		address := c.leader
-		if address == "" {
-			address = c.addresses[attempt%len(c.addresses)]
-		}
-		api := beamdoorv1connect.NewAdminServiceClient(c.http, "http://"+address)
-		response, err := run(ctx, api)
-		if err == nil {
-			c.leader = address
-			return response.Msg, nil
-		}
-		if !retryable(err) {
-			return nil, exitError(address, err)
-		}
-		if ctx.Err() == nil || last == nil {
-			last = steperror.Wrap("cli.call", address, err)
-		}
-		c.leader = leaderOf(err)
-		time.Sleep(retryPause)
+// call runs one request of a command and gives a failure its exit code.
+func call[T any](ctx context.Context, c *adminclient.Client, run adminclient.Request[T]) (*T, error) {
+	response, err := adminclient.Call(ctx, c, run)
+	if err != nil {
+		return nil, &ExitError{Code: exitCodeOf(err), Cause: err}
 	}
-	return nil, &ExitError{Code: ExitUnavailable, Cause: steperror.Wrap("cli.call", "", last)}
+	return response, nil
 }
 
-func retryable(err error) bool {
-	code := connect.CodeOf(err)
-	return code == connect.CodeUnavailable || code == connect.CodeUnknown || code == connect.CodeDeadlineExceeded
-}
-
-// errorDetail returns the details of an API error, or empty ones.
-func errorDetail(err error) *beamdoorv1.ErrorDetail {
-	var apiError *connect.Error
-	if errors.As(err, &apiError) {
-		for _, encoded := range apiError.Details() {
-			if value, decodeErr := encoded.Value(); decodeErr == nil {
-				if detail, ok := value.(*beamdoorv1.ErrorDetail); ok {
-					return detail
-				}
-			}
-		}
+func exitCodeOf(err error) int {
+	var unavailable *adminclient.UnavailableError
+	if errors.As(err, &unavailable) {
+		return ExitUnavailable
 	}
-	return &beamdoorv1.ErrorDetail{}
-}
-
-func leaderOf(err error) string { return errorDetail(err).LeaderAdmin }
-
-func exitError(address string, err error) error {
-	code := ExitFailed
 	switch connect.CodeOf(err) {
 	case connect.CodeAborted:
-		code = ExitConflict
+		return ExitConflict
 	case connect.CodeNotFound:
-		code = ExitNotFound
+		return ExitNotFound
 	case connect.CodeInvalidArgument:
-		code = ExitUsage
+		return ExitUsage
 	}
-	return &ExitError{Code: code, Cause: steperror.Wrap("cli.call", address, err)}
+	return ExitFailed
 }
--- a/internal/cli/reads.go
+++ b/internal/cli/reads.go
@@ -11,6 +11,8 @@
 
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/api/beamdoor/v1/beamdoorv1connect"
+
+	"github.com/beamdoor/beamdoor/internal/adminclient"
 )
 
 func getCommand(o *options) *cobra.Command {
@@ -114,7 +116,7 @@
 }
 
 // leaderStatus asks for the status until the member that answers leads.
-func (o *options) leaderStatus(ctx context.Context, api *client) (*beamdoorv1.StatusResponse, error) {
+func (o *options) leaderStatus(ctx context.Context, api *adminclient.Client) (*beamdoorv1.StatusResponse, error) {
 	return call(ctx, api, func(ctx context.Context, admin beamdoorv1connect.AdminServiceClient) (*connect.Response[beamdoorv1.StatusResponse], error) {
 		response, err := admin.Status(ctx, connect.NewRequest(&beamdoorv1.StatusRequest{}))
 		if err != nil {
@@ -229,10 +231,10 @@
 			ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
 			defer cancel()
 			api := o.client()
-			admin := beamdoorv1connect.NewAdminServiceClient(api.http, "http://"+api.addresses[0])
+			admin := beamdoorv1connect.NewAdminServiceClient(api.HTTP(), "http://"+api.Addresses()[0])
 			stream, err := admin.Watch(ctx, connect.NewRequest(&beamdoorv1.WatchRequest{FromRevision: from}))
 			if err != nil {
-				return exitError(api.addresses[0], err)
+				return &ExitError{Code: exitCodeOf(err), Cause: err}
 			}
 			for stream.Receive() {
 				entry := stream.Msg()
@@ -291,13 +293,13 @@
 		}
 		return response, nil
 	}
-	return nil, exitError("", last)
+	return nil, &ExitError{Code: exitCodeOf(last), Cause: last}
 }
 
-func askExplain(ctx context.Context, api *client, address, service, caller string) (*beamdoorv1.ExplainResponse, error) {
+func askExplain(ctx context.Context, api *adminclient.Client, address, service, caller string) (*beamdoorv1.ExplainResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	admin := beamdoorv1connect.NewBalancerServiceClient(api.http, "http://"+address)
+	admin := beamdoorv1connect.NewBalancerServiceClient(api.HTTP(), "http://"+address)
 	response, err := admin.Explain(ctx, connect.NewRequest(&beamdoorv1.ExplainRequest{Service: service, Caller: caller}))
 	if err != nil {
 		return nil, err
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"github.com/beamdoor/beamdoor/internal/adminclient"
 )
 
 // Version is the version of the program.
@@ -19,7 +21,7 @@
 	author  string
 }
 
-func (o *options) client() *client { return newClient(o.control, o.timeout) }
+func (o *options) client() *adminclient.Client { return adminclient.New(o.control, o.timeout) }
 
 const defaultTimeout = 10 * time.Second
 
--- a/internal/cli/writes.go
+++ b/internal/cli/writes.go
@@ -11,13 +11,14 @@
 
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/api/beamdoor/v1/beamdoorv1connect"
+	"github.com/beamdoor/beamdoor/internal/adminclient"
 	"github.com/beamdoor/beamdoor/internal/config"
 )
 
 // baseUnset makes a write read the newest revision first.
 const baseUnset = -1
 
-func (o *options) read(ctx context.Context, api *client, stale bool) (*beamdoorv1.ReadResponse, error) {
+func (o *options) read(ctx context.Context, api *adminclient.Client, stale bool) (*beamdoorv1.ReadResponse, error) {
 	return call(ctx, api, func(ctx context.Context, admin beamdoorv1connect.AdminServiceClient) (*connect.Response[beamdoorv1.ReadResponse], error) {
 		return admin.Read(ctx, connect.NewRequest(&beamdoorv1.ReadRequest{Stale: stale}))
 	})
@@ -70,7 +71,7 @@
 	}
 	request := &beamdoorv1.ApplyRequest{
 		BaseRevision:    uint64(base),
-		RequestId:       newRequestID(),
+		RequestId:       adminclient.NewRequestID(),
 		Author:          o.author,
 		Summary:         summary,
 		Services:        parsed.Services,
@@ -93,7 +94,7 @@
 // waitPoll is the time between two looks at the status.
 const waitPoll = 100 * time.Millisecond
 
-func (o *options) waitInForce(cmd *cobra.Command, api *client, revision uint64, wait time.Duration) error {
+func (o *options) waitInForce(cmd *cobra.Command, api *adminclient.Client, revision uint64, wait time.Duration) error {
 	start := time.Now()
 	for time.Since(start) < wait {
 		status, err := o.leaderStatus(cmd.Context(), api)
@@ -121,7 +122,7 @@
 		Args:    cobra.MinimumNArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			request := &beamdoorv1.SetDrainingRequest{
-				RequestId: newRequestID(),
+				RequestId: adminclient.NewRequestID(),
 				Author:    o.author,
 				Service:   args[0],
 				Targets:   args[1:],
@@ -145,7 +146,7 @@
 		Example: "  beamdoor leave quito-b2",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			request := &beamdoorv1.RemoveBalancerRequest{RequestId: newRequestID(), Author: o.author, Name: args[0]}
+			request := &beamdoorv1.RemoveBalancerRequest{RequestId: adminclient.NewRequestID(), Author: o.author, Name: args[0]}
 			response, err := call(cmd.Context(), o.client(), func(ctx context.Context, admin beamdoorv1connect.AdminServiceClient) (*connect.Response[beamdoorv1.WriteResponse], error) {
 				return admin.RemoveBalancer(ctx, connect.NewRequest(request))
 			})
@@ -223,7 +224,7 @@
 	if _, err := fmt.Sscan(id, &member.Id); err != nil || member.Id == 0 {
 		return usageError("ID: %q: must be a number from 1 on", id)
 	}
-	request := &beamdoorv1.ChangeMemberRequest{RequestId: newRequestID(), Change: change, Member: member}
+	request := &beamdoorv1.ChangeMemberRequest{RequestId: adminclient.NewRequestID(), Change: change, Member: member}
 	response, err := call(cmd.Context(), o.client(), func(ctx context.Context, admin beamdoorv1connect.AdminServiceClient) (*connect.Response[beamdoorv1.WriteResponse], error) {
 		return admin.ChangeMember(ctx, connect.NewRequest(request))
 	})
