--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # beamdoor: build, test and run. See README.md.
 
-.PHONY: build demo test check sim bench scale faults
+.PHONY: build demo test check sim bench scale faults fuzz
+
+SEEDS ?= 1-50
 
 build:
 	go build -o bin/ ./cmd/...
@@ -18,3 +20,30 @@
 	  if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet ./...
 	go tool staticcheck ./...
+
+# Every scenario on a virtual clock, for both set-ups.
+sim: build
+	bin/beamdoor-lab sim --scenario all --seeds $(SEEDS) --setup patitas
+	bin/beamdoor-lab sim --scenario all --seeds $(SEEDS) --setup perth
+
+# Ratios within one run; absolute times depend on the machine.
+bench:
+	go test -run '^$$' -bench . -benchtime 1s ./internal/routing
+	go test -run '^$$' -bench . -benchtime 3x ./internal/balancer
+	go test -run '^$$' -bench . -benchtime 300x ./internal/wal
+
+# Hollow balancers against real control members, in several sizes.
+scale: build
+	bash scripts/scale.sh
+
+# Faults on real processes while load runs.
+faults: build
+	bash scripts/faults.sh
+
+# Each fuzz target for a while.
+fuzz:
+	@for target in $$(grep -rlE '^func Fuzz' --include=*_test.go internal); do \
+	  for name in $$(sed -nE 's/^func (Fuzz[A-Za-z]+).*/\1/p' $$target); do \
+	    go test -run '^$$' -fuzz "^$$name$$" -fuzztime 20s ./$$(dirname $$target) || exit 1; \
+	  done; \
+	done
--- a/internal/balancer/admin.go
+++ b/internal/balancer/admin.go
@@ -27,6 +27,7 @@
 	flows           prometheus.Gauge
 	revision        prometheus.Gauge
 	view            prometheus.Gauge
+	hasLease        prometheus.Gauge
 	dropped         prometheus.Gauge
 	controlSent     prometheus.Counter
 	controlReceived prometheus.Counter
@@ -52,6 +53,7 @@
 		flows:           gauge("flows", "Flows held."),
 		revision:        gauge("revision", "Configuration revision in force."),
 		view:            gauge("view", "Number of the view in force."),
+		hasLease:        gauge("has_lease", "1 while this balancer has a lease."),
 		dropped:         gauge("inputs_dropped", "Inputs that found no room in the ring."),
 		controlSent:     counter("control_sent_bytes_total", "Bytes sent to the control plane."),
 		controlReceived: counter("control_received_bytes_total", "Bytes received from the control plane."),
@@ -62,7 +64,7 @@
 		}, []string{"source"}),
 		refused: map[string]uint64{},
 	}
-	m.registry.MustRegister(m.counters, m.flows, m.revision, m.view, m.dropped, m.controlSent, m.controlReceived,
+	m.registry.MustRegister(m.counters, m.flows, m.revision, m.view, m.hasLease, m.dropped, m.controlSent, m.controlReceived,
 		m.refusedPackets, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -76,11 +78,15 @@
 }
 
 // observe copies the router's counters into the metrics.
-func (m *metrics) observe(router *routing.Router, dropped uint64) {
+func (m *metrics) observe(now kernel.Instant, router *routing.Router, dropped uint64) {
 	m.flows.Set(float64(router.Flows()))
 	m.revision.Set(float64(router.Revision()))
 	m.view.Set(float64(router.ViewNumber()))
 	m.dropped.Set(float64(dropped))
+	m.hasLease.Set(0)
+	if router.HasLease(now) {
+		m.hasLease.Set(1)
+	}
 	for kind, count := range router.Counters().ByName() {
 		m.counters.WithLabelValues(kind).Set(float64(count))
 	}
--- a/internal/balancer/process.go
+++ b/internal/balancer/process.go
@@ -213,7 +213,7 @@
 type tickInput struct{}
 
 func (tickInput) handle(p *Process, now kernel.Instant) []routing.Action {
-	p.metrics.observe(p.router, p.inputs.Dropped())
+	p.metrics.observe(now, p.router, p.inputs.Dropped())
 	p.checkLeave(now)
 	return p.router.Tick(now)
 }
--- a/internal/cli/offline.go
+++ b/internal/cli/offline.go
@@ -3,13 +3,16 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strings"
 
 	"github.com/spf13/cobra"
 	"go.yaml.in/yaml/v3"
 
+	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/config"
+	"github.com/beamdoor/beamdoor/internal/control"
 	"github.com/beamdoor/beamdoor/internal/policy"
 	"github.com/beamdoor/beamdoor/internal/settings"
 	"github.com/beamdoor/beamdoor/internal/store"
@@ -176,10 +179,50 @@
 			return verifyFolder(cmd, args[0])
 		},
 	}
-	parent.AddCommand(verify)
+	parent.AddCommand(verify, restoreCommand())
 	return parent
 }
 
+func restoreCommand() *cobra.Command {
+	member := &beamdoorv1.Member{}
+	var backup string
+	command := &cobra.Command{
+		Use:   "restore FOLDER",
+		Short: "Fill an empty data folder with a backup, as the first member of a new group",
+		Long: `Fill an empty data folder with a backup, as the first and only member of a new
+group. Start it without bootstrap and add the other members. What was accepted
+after the backup is lost; its revisions and ids are not used again.`,
+		Example: "  beamdoor data restore --backup beamdoor.state --id 11 --peer 10.0.0.1:7100 --nodes 10.0.0.1:7200 --admin 10.0.0.1:7300 /var/lib/beamdoor",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if member.Id == 0 || member.Peer == "" || member.Nodes == "" || member.Admin == "" {
+				return usageError("--id, --peer, --nodes and --admin are needed")
+			}
+			data, err := os.ReadFile(backup)
+			if err != nil {
+				return &ExitError{Code: ExitUsage, Cause: err}
+			}
+			folder, err := wal.OpenFolder(args[0])
+			if err != nil {
+				return err
+			}
+			revision, err := control.RestoreFolder(folder, rand.Uint64, member, data)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "restored as revision %d\n", revision)
+			return nil
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&backup, "backup", "", "file made by beamdoor backup")
+	flags.Uint32Var(&member.Id, "id", 0, "number of the member, never used before")
+	flags.StringVar(&member.Peer, "peer", "", "TCP address for the other members")
+	flags.StringVar(&member.Nodes, "nodes", "", "TCP address for balancers")
+	flags.StringVar(&member.Admin, "admin", "", "HTTP address of the administration API")
+	return command
+}
+
 func verifyFolder(cmd *cobra.Command, path string) error {
 	folder, err := wal.OpenFolder(path)
 	if err != nil {
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -37,6 +37,8 @@
 type leaseTable struct {
 	core    *Core
 	records map[uint64]*leaseRecord
+	// outside holds by cell the balancers that report and are in no view.
+	outside map[uint32]map[uint64]*leaseRecord
 	cells   map[uint32]*cellRecord
 	// floor is the earliest end of any lease that a former leader granted, or
 	// that this one may have missed to renew while it was stopped.
@@ -48,6 +50,7 @@
 	return &leaseTable{
 		core:    core,
 		records: map[uint64]*leaseRecord{},
+		outside: map[uint32]map[uint64]*leaseRecord{},
 		cells:   map[uint32]*cellRecord{},
 	}
 }
@@ -55,6 +58,7 @@
 // takeOver starts afresh after an election.
 func (t *leaseTable) takeOver(now kernel.Instant) {
 	t.records = map[uint64]*leaseRecord{}
+	t.outside = map[uint32]map[uint64]*leaseRecord{}
 	t.cells = map[uint32]*cellRecord{}
 	t.floor = now.Add(t.core.settings.Lease + t.core.settings.LeaseMargin)
 	t.lastTick = now
@@ -108,8 +112,10 @@
 	}
 	member := memberByNonce(state.View(report.Cell), report.Nonce)
 	if member == nil {
+		t.noteOutside(record)
 		return grant
 	}
+	delete(t.outside[report.Cell], report.Nonce)
 	grant.ID = member.Id
 	record.memberID = member.Id
 	t.noteLag(now, record, grant.CellRevision)
@@ -122,6 +128,14 @@
 	return grant
 }
 
+func (t *leaseTable) noteOutside(record *leaseRecord) {
+	cell := record.report.Cell
+	if t.outside[cell] == nil {
+		t.outside[cell] = map[uint64]*leaseRecord{}
+	}
+	t.outside[cell][record.report.Nonce] = record
+}
+
 func (t *leaseTable) noteLag(now kernel.Instant, record *leaseRecord, cellRevision uint64) {
 	behind := record.report.Applied < cellRevision
 	if behind && !record.behind {
@@ -209,6 +223,7 @@
 	for nonce, record := range t.records {
 		if now.Sub(record.lastSeen) > 4*t.core.settings.Lease {
 			delete(t.records, nonce)
+			delete(t.outside[record.report.Cell], nonce)
 		}
 	}
 }
@@ -239,10 +254,11 @@
 	if view == nil {
 		return t.foundingChange(now, number, cell, change)
 	}
-	if !t.settled(now, view, cell) {
+	planned := t.plannedChange(now, view, change)
+	if planned == nil || !t.settled(now, view, cell) {
 		return nil
 	}
-	return t.plannedChange(now, view, change)
+	return planned
 }
 
 func (t *leaseTable) expired(now kernel.Instant, view *beamdoorv1.View) []uint32 {
@@ -343,10 +359,10 @@
 func (t *leaseTable) joiners(now kernel.Instant, number uint32) []*leaseRecord {
 	var list []*leaseRecord
 	view := t.core.store.View(number)
-	for _, record := range t.records {
+	for _, record := range t.outside[number] {
 		report := record.report
 		silent := now.Sub(record.lastSeen) > t.core.settings.Lease/2
-		if report.Cell != number || report.Introduction == nil || report.Leaving || silent {
+		if report.Introduction == nil || report.Leaving || silent {
 			continue
 		}
 		if memberByNonce(view, report.Nonce) == nil {
--- a/internal/routing/flow_test.go
+++ b/internal/routing/flow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -232,3 +233,21 @@
 		router.HandleCallerPacket(c.now, c.now, bookingAddress, caller, get)
 	}
 }
+
+// BenchmarkFlowMemory reports the bytes that a flow takes in a full table.
+func BenchmarkFlowMemory(b *testing.B) {
+	const flows = 300_000
+	for b.Loop() {
+		c := newCell(b, 1, 15)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range uint64(flows) {
+			c.routers[1].flows.put(i*0x9e3779b97f4a7c15, flowRecord{targetID: 100})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+		runtime.KeepAlive(c)
+	}
+}
--- /dev/null
+++ b/internal/wal/wal_bench_test.go
@@ -0,0 +1,39 @@
+package wal_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/raft"
+	"github.com/beamdoor/beamdoor/internal/wal"
+)
+
+// BenchmarkSaveRatio compares a save with a bare append and sync of the same
+// bytes on the same disk, in turns.
+func BenchmarkSaveRatio(b *testing.B) {
+	folder, err := wal.OpenFolder(filepath.Join(b.TempDir(), "log"))
+	require.NoError(b, err)
+	log, _, _, err := wal.Open(folder)
+	require.NoError(b, err)
+	bare, err := os.Create(filepath.Join(b.TempDir(), "bare"))
+	require.NoError(b, err)
+	data := make([]byte, 512)
+	var saving, appending time.Duration
+	index := uint64(0)
+	for b.Loop() {
+		index++
+		start := time.Now()
+		require.NoError(b, log.Save(raft.Ready{Entries: []raft.Entry{{Term: 1, Index: index, Data: data}}}, raft.Restored{}))
+		saving += time.Since(start)
+		start = time.Now()
+		_, err := bare.Write(data)
+		require.NoError(b, err)
+		require.NoError(b, bare.Sync())
+		appending += time.Since(start)
+	}
+	b.ReportMetric(float64(saving)/float64(appending), "of-bare-append")
+}
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -21,7 +21,7 @@
 PROBED=${PROBED:-0}
 CHANGES=${CHANGES:-20}
 mkdir -p "$ROOT"
-rm -f "$CSV"
+[ -n "${KEEP:-}" ] || rm -f "$CSV"
 
 for nodes in "${SIZES[@]}"; do
   services=${SERVICES:-$((nodes * 11000 / 6100))}
@@ -37,5 +37,5 @@
     --changes "$CHANGES" --probed "$PROBED" --csv "$CSV"
   stop_fleet
 done
-"$BIN/beamdoor-lab" scale fit --csv "$CSV" --over "${OVER:-Nodes}" --target "${TARGET:-6100}" \
+[ -n "${KEEP:-}" ] || "$BIN/beamdoor-lab" scale fit --csv "$CSV" --over "${OVER:-Nodes}" --target "${TARGET:-6100}" \
   --plot "$ROOT/scale.svg" --columns LeaderCore,FollowerCore
