--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -415,6 +415,9 @@
 	}
 	delete(c.pending, entry.Index)
 	outcome := Outcome{Token: proposal.token, Result: result}
+	if entry.Kind == raft.EntryMembership {
+		outcome.Result.Revision = c.store.Revision()
+	}
 	if proposal.term != entry.Term {
 		outcome.Err = steperror.New("control.propose", "", "another leader's entry took this place")
 	}
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -11,7 +11,12 @@
 trap "exit 1" TERM INT
 
 # leader prints the number of the control member that leads.
-leader() { admin status -o json | tr -d ' \n' | sed 's/.*"leaderId":\([0-9]*\).*/\1/'; }
+leader() { status_field leader_id; }
+
+# status_field NAME prints a number out of the status.
+status_field() {
+  admin status -o json | tr -d ' \n' | grep -o "\"$1\":\"*[0-9]*" | head -1 | grep -o '[0-9]*$'
+}
 
 # pause_process NAME SECONDS stops a process and lets it go on.
 pause_process() {
@@ -23,7 +28,7 @@
 # race has two operators write on the same revision; one wins, one loses.
 race() {
   local base code_one=0 code_two=0 one two
-  base=$(admin status -o json | tr -d ' \n' | sed 's/.*"revision":"\([0-9]*\)".*/\1/')
+  base=$(status_field revision)
   "$BIN/beamdoor" --control "$CONTROL_ADMIN" --author ana apply -f "$RUN/services.yaml" --base "$base" >/dev/null 2>&1 &
   one=$!
   "$BIN/beamdoor" --control "$CONTROL_ADMIN" --author ben apply -f "$RUN/services.yaml" --base "$base" >/dev/null 2>&1 &
