Owners of a partition stand in two zones

Options: weights by zone (more bookkeeping), three owners (one hop more for every request), backup with the highest hash outside the primary's zone. The last keeps one owner in place through any single change (a property test with rapid shows it).

--- a/internal/lab/sim/scenario_balancer.go
+++ b/internal/lab/sim/scenario_balancer.go
@@ -26,6 +26,30 @@
 				})
 			},
 		},
+		{
+			Name:    "lose-zone",
+			Purpose: "all balancers and the control member of a zone die at once",
+			tune: func(p *Plan) {
+				p.Balancers = 6
+				p.MostUnfinished = 0.3
+				p.DownloadsMayFail = true
+			},
+			run: func(w *World) {
+				w.soon(func() {
+					zone := w.setup.zone(w.random.IntN(zoneCount))
+					for _, b := range w.balancers {
+						if b.zone == zone {
+							w.killBalancer(b, 15*time.Second)
+						}
+					}
+					for _, m := range w.members {
+						if m.zone == zone {
+							w.killMember(m, 15*time.Second)
+						}
+					}
+				})
+			},
+		},
 		{
 			Name:    "freeze-balancer",
 			Purpose: "balancers stop for seconds and wake with an old view",
--- a/internal/routing/flow_test.go
+++ b/internal/routing/flow_test.go
@@ -10,6 +10,7 @@
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/wire"
@@ -251,3 +252,33 @@
 		runtime.KeepAlive(c)
 	}
 }
+
+// Any single change of the members leaves one owner in place, and owners stand
+// in two zones when there are two.
+func TestPairsThroughChangesAndZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []member
+		zones := rapid.SliceOfN(rapid.IntRange(1, 3), 2, 12).Draw(t, "zones")
+		for i, zone := range zones {
+			members = append(members, member{id: uint32(i + 1), zone: fmt.Sprint(zone)})
+		}
+		partition := rapid.Uint64Range(0, Partitions-1).Draw(t, "partition")
+		before := choosePair(partition, members)
+		changed := append([]member{}, members...)
+		if rapid.Bool().Draw(t, "joins") {
+			changed = append(changed, member{id: 99, zone: fmt.Sprint(rapid.IntRange(1, 3).Draw(t, "zone"))})
+		} else {
+			changed[rapid.IntRange(0, len(changed)-1).Draw(t, "goes")].leaving = true
+		}
+		after := choosePair(partition, changed)
+		assert.True(t, after.has(before.primary) || after.has(before.backup))
+		assert.NotEqual(t, before.primary, before.backup)
+		if zones := map[string]bool{}; len(members) > 1 {
+			for _, listed := range members {
+				zones[listed.zone] = true
+			}
+			apart := members[before.primary-1].zone != members[before.backup-1].zone
+			assert.Equal(t, len(zones) > 1, apart)
+		}
+	})
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -115,6 +115,7 @@
 type member struct {
 	id      uint32
 	name    string
+	zone    string
 	peer    netip.AddrPort
 	leaving bool
 }
@@ -152,6 +153,7 @@
 		next.members = append(next.members, member{
 			id:      balancer.Id,
 			name:    balancer.Name,
+			zone:    balancer.Zone,
 			peer:    peer,
 			leaving: balancer.State == beamdoorv1.BalancerState_BALANCER_STATE_LEAVING,
 		})
@@ -166,26 +168,41 @@
 	return next
 }
 
-// choosePair returns the two members with the highest hash for the partition
-// (rendezvous hashing; Thaler and Ravishankar, 1998). Leaving members are
-// passed over, so that their partitions move before they go.
+// choosePair returns the member with the highest hash for the partition as
+// primary (rendezvous hashing; Thaler and Ravishankar, 1998), and as backup the
+// one with the highest hash that stands in another zone, or anywhere when there
+// is no other zone. Leaving members are passed over, so that their partitions
+// move before they go. When one member comes or goes, one owner stays.
 func choosePair(partition uint64, members []member) pair {
-	var best, second uint64
-	var chosen pair
+	primary := highest(partition, members, func(*member) bool { return true })
+	if primary == nil {
+		return pair{}
+	}
+	backup := highest(partition, members, func(candidate *member) bool { return candidate.zone != primary.zone })
+	if backup == nil {
+		backup = highest(partition, members, func(candidate *member) bool { return candidate.id != primary.id })
+	}
+	if backup == nil {
+		return pair{primary: primary.id}
+	}
+	return pair{primary: primary.id, backup: backup.id}
+}
+
+// highest returns the member with the highest hash among those that may own
+// the partition, or nil.
+func highest(partition uint64, members []member, may func(*member) bool) *member {
+	var best *member
+	var bestScore uint64
 	for i := range members {
-		if members[i].leaving {
+		candidate := &members[i]
+		if candidate.leaving || !may(candidate) {
 			continue
 		}
-		score := rendezvousScore(partition, members[i].id)
-		switch {
-		case chosen.primary == 0 || score > best:
-			chosen.backup, second = chosen.primary, best
-			chosen.primary, best = members[i].id, score
-		case chosen.backup == 0 || score > second:
-			chosen.backup, second = members[i].id, score
+		if score := rendezvousScore(partition, candidate.id); best == nil || score > bestScore {
+			best, bestScore = candidate, score
 		}
 	}
-	return chosen
+	return best
 }
 
 func rendezvousScore(key uint64, id uint32) uint64 {
