--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	go test -run '^$$' -bench . -benchtime 1s ./internal/routing
 	go test -run '^$$' -bench . -benchtime 3x ./internal/balancer
 	go test -run '^$$' -bench . -benchtime 300x ./internal/wal
+	go test -run "^$$$$" -bench . -benchtime 5x ./internal/store
 
 # Hollow balancers against real control members, in several sizes.
 scale: build
--- a/internal/balancer/control.go
+++ b/internal/balancer/control.go
@@ -5,9 +5,6 @@
 	"net"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/linkhealth"
@@ -103,24 +100,11 @@
 			return err
 		}
 		l.process.metrics.controlReceived.Add(float64(wire.FrameSize(frame)))
-		l.noteFrame(frame)
+		l.health.NoteFrame(l.process.now(), frame)
 		l.process.inputs.Push(controlInput{frame: frame})
 	}
 }
 
-func (l *controlLink) noteFrame(frame wire.Frame) {
-	now := l.process.now()
-	l.health.Heard(now)
-	if frame.Kind != wire.FrameGrant {
-		return
-	}
-	decoder := wire.NewDecoder(frame.Payload)
-	grant := wire.DecodeGrant(decoder)
-	if decoder.Err("balancer.grant") == nil {
-		l.health.Granted(now, grant)
-	}
-}
-
 // reconnectedInput says that the connection was opened.
 type reconnectedInput struct{}
 
@@ -132,24 +116,9 @@
 type controlInput struct{ frame wire.Frame }
 
 func (i controlInput) handle(p *Process, now kernel.Instant) []routing.Action {
-	decoder := wire.NewDecoder(i.frame.Payload)
-	switch i.frame.Kind {
-	case wire.FrameGrant:
-		grant := wire.DecodeGrant(decoder)
-		if decoder.Err("balancer.grant") == nil {
-			return p.router.HandleGrant(now, grant)
-		}
-	case wire.FrameSignals:
-		signals := wire.DecodeSignals(decoder)
-		if decoder.Err("balancer.signals") == nil {
-			return p.router.HandleSignals(now, signals)
-		}
-	case wire.FrameConfig:
-		config := &beamdoorv1.CellConfig{}
-		if err := proto.Unmarshal(i.frame.Payload, config); err == nil {
-			return p.router.HandleConfig(now, config)
-		}
+	actions, err := p.router.HandleControlFrame(now, i.frame)
+	if err != nil {
+		p.logger.Event(eventlog.BadFrame, "kind", i.frame.Kind, "err", err)
 	}
-	p.logger.Event(eventlog.BadFrame, "kind", i.frame.Kind)
-	return nil
+	return actions
 }
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -276,23 +276,13 @@
 }
 
 func (l *Load) readOutcome(response *pool.Message, id string, flow *board) report.Outcome {
-	switch response.Code() {
-	case codes.Changed:
-	case codes.ServiceUnavailable:
-		return report.NotRun
-	case codes.GatewayTimeout:
-		return report.Unknown
-	default:
-		return report.Wrong
-	}
 	body, err := response.ReadBody()
 	if err != nil {
 		return report.Wrong
 	}
-	name, echoed, _ := strings.Cut(string(body), " ")
-	if echoed != id {
-		return report.Wrong
+	outcome, target := report.ReadOutcome(response.Code(), string(body), id)
+	if outcome == report.Done {
+		flow.see(target)
 	}
-	flow.see(name)
-	return report.Done
+	return outcome
 }
--- a/internal/lab/scale/node.go
+++ b/internal/lab/scale/node.go
@@ -12,13 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/linkhealth"
 	"github.com/beamdoor/beamdoor/internal/routing"
-	"github.com/beamdoor/beamdoor/internal/steperror"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
@@ -165,23 +161,12 @@
 }
 
 func (n *node) receive(frame wire.Frame) {
-	n.health.Heard(n.now())
-	decoder := wire.NewDecoder(frame.Payload)
-	switch frame.Kind {
-	case wire.FrameGrant:
-		grant := wire.DecodeGrant(decoder)
-		n.health.Granted(n.now(), grant)
-		n.carryOut(n.router.HandleGrant(n.now(), grant))
-	case wire.FrameSignals:
-		n.carryOut(n.router.HandleSignals(n.now(), wire.DecodeSignals(decoder)))
-	case wire.FrameConfig:
-		config := &beamdoorv1.CellConfig{}
-		if err := proto.Unmarshal(frame.Payload, config); err != nil {
-			n.fleet.fail(steperror.Wrap("scale.config", "", err))
-			return
-		}
-		n.carryOut(n.router.HandleConfig(n.now(), config))
+	n.health.NoteFrame(n.now(), frame)
+	actions, err := n.router.HandleControlFrame(n.now(), frame)
+	if err != nil {
+		n.fleet.fail(err)
 	}
+	n.carryOut(actions)
 	n.note()
 }
 
--- a/internal/lab/sim/balancer.go
+++ b/internal/lab/sim/balancer.go
@@ -4,9 +4,6 @@
 	"net/netip"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 	"github.com/beamdoor/beamdoor/internal/control"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/linkhealth"
@@ -191,22 +188,13 @@
 }
 
 func (b *balancer) receiveControl(frame wire.Frame) {
-	b.health.Heard(b.now())
+	b.health.NoteFrame(b.now(), frame)
 	b.received += uint64(wire.FrameSize(frame))
-	decoder := wire.NewDecoder(frame.Payload)
-	switch frame.Kind {
-	case wire.FrameGrant:
-		grant := wire.DecodeGrant(decoder)
-		b.health.Granted(b.now(), grant)
-		b.carryOut(b.router.HandleGrant(b.now(), grant))
-	case wire.FrameSignals:
-		b.carryOut(b.router.HandleSignals(b.now(), wire.DecodeSignals(decoder)))
-	case wire.FrameConfig:
-		config := &beamdoorv1.CellConfig{}
-		if proto.Unmarshal(frame.Payload, config) == nil {
-			b.carryOut(b.router.HandleConfig(b.now(), config))
-		}
+	actions, err := b.router.HandleControlFrame(b.now(), frame)
+	if err != nil {
+		b.world.trace("%s cannot read a frame: %v", b.name, err)
 	}
+	b.carryOut(actions)
 }
 
 func (b *balancer) receiveCaller(service, caller netip.AddrPort, payload []byte) {
--- a/internal/lab/sim/caller.go
+++ b/internal/lab/sim/caller.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
@@ -181,7 +180,10 @@
 	request.Options = request.Options.Add(message.Option{ID: coapmsg.DeadlineOption, Value: value[:size]})
 	started := w.clock.Now()
 	answer := func(received message.Message) {
-		outcome := readOutcome(received, id, see)
+		outcome, target := report.ReadOutcome(received.Code, string(received.Payload), id)
+		if outcome == report.Done && see != nil {
+			see(target)
+		}
 		if outcome != report.Done {
 			w.trace("%s: request %s ended: %s", c.address, id, outcome)
 		}
@@ -192,23 +194,3 @@
 		w.report.Request(id, report.NoAnswer, w.clock.Now().Sub(started))
 	})
 }
-
-func readOutcome(received message.Message, id string, see func(target string)) report.Outcome {
-	switch received.Code {
-	case codes.Changed:
-	case codes.ServiceUnavailable:
-		return report.NotRun
-	case codes.GatewayTimeout:
-		return report.Unknown
-	default:
-		return report.Wrong
-	}
-	name, echoed, _ := strings.Cut(string(received.Payload), " ")
-	if echoed != id {
-		return report.Wrong
-	}
-	if see != nil {
-		see(name)
-	}
-	return report.Done
-}
--- a/internal/linkhealth/linkhealth.go
+++ b/internal/linkhealth/linkhealth.go
@@ -36,13 +36,16 @@
 	}
 }
 
-// Heard notes a frame of the member.
-func (h *Health) Heard(now kernel.Instant) { h.heard = now }
-
-// Granted notes an answer to a report. One without a revision comes from a
-// member that knows no leader.
-func (h *Health) Granted(now kernel.Instant, grant wire.Grant) {
-	if grant.Revision == 0 {
+// NoteFrame notes a frame of the member. A grant without a revision comes from
+// a member that knows no leader.
+func (h *Health) NoteFrame(now kernel.Instant, frame wire.Frame) {
+	h.heard = now
+	if frame.Kind != wire.FrameGrant {
+		return
+	}
+	decoder := wire.NewDecoder(frame.Payload)
+	grant := wire.DecodeGrant(decoder)
+	if decoder.Err("linkhealth.grant") != nil || grant.Revision == 0 {
 		return
 	}
 	h.leader = now
--- a/internal/linkhealth/linkhealth_test.go
+++ b/internal/linkhealth/linkhealth_test.go
@@ -17,8 +17,7 @@
 func TestSilentMemberFails(t *testing.T) {
 	var health Health
 	health.Opened(at(0))
-	health.Heard(at(1))
-	health.Granted(at(1), wire.Grant{Revision: 1})
+	health.NoteFrame(at(1), wire.GrantFrame(wire.Grant{Revision: 1}))
 	assert.False(t, health.Failed(at(2)))
 	assert.True(t, health.Failed(at(2.7)))
 }
@@ -30,16 +29,15 @@
 	for _, wait := range waits {
 		health.Opened(at(now))
 		for passed := 0.0; passed < wait; passed += 0.4 {
-			health.Heard(at(now + passed))
-			health.Granted(at(now+passed), wire.Grant{})
+			health.NoteFrame(at(now+passed), wire.GrantFrame(wire.Grant{}))
 			assert.False(t, health.Failed(at(now+passed)), "after %v", passed)
 		}
 		now += wait + 0.1
-		health.Heard(at(now))
+		health.NoteFrame(at(now), wire.Frame{Kind: wire.FrameSignals})
 		assert.True(t, health.Failed(at(now)))
 	}
 	health.Opened(at(now))
-	health.Granted(at(now), wire.Grant{Revision: 1})
-	health.Heard(at(now + 1.7))
+	health.NoteFrame(at(now), wire.GrantFrame(wire.Grant{Revision: 1}))
+	health.NoteFrame(at(now+1.7), wire.GrantFrame(wire.Grant{}))
 	assert.True(t, health.Failed(at(now+1.7)), "patience is short again after a leader's answer")
 }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -255,3 +255,32 @@
 		}
 	})
 }
+
+// BenchmarkEncodeAtSize encodes and decodes the state of three sizes; the
+// largest is the two-year size.
+func BenchmarkEncodeAtSize(b *testing.B) {
+	for _, services := range []int{2750, 5500, 11000} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			state := New(Options{})
+			var all []*beamdoorv1.Service
+			number := 0
+			for i := range services {
+				added := service(fmt.Sprintf("service-%d", i), 1)
+				added.Address = fmt.Sprintf("10.%d.%d.1:5683", 100+i>>8, i&0xff)
+				for ; number < 36000*(i+1)/11000; number++ {
+					address := fmt.Sprintf("10.%d.%d.%d:9000", number>>16, number>>8&0xff, number&0xff)
+					added.Targets = append(added.Targets, target(fmt.Sprintf("target-%d", number), address))
+				}
+				all = append(all, added)
+			}
+			require.Equal(b, ErrorNone, applyServices(state, all...).Code)
+			var size int
+			for b.Loop() {
+				data, err := state.Encode()
+				require.NoError(b, err)
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
