--- a/internal/balancer/forward_bench_test.go
+++ b/internal/balancer/forward_bench_test.go
@@ -134,7 +134,7 @@
 	})
 	config, err := proto.Marshal(&beamdoorv1.CellConfig{
 		Revision: 1,
-		View:     &beamdoorv1.View{Cell: 1, Number: 1, Founding: true, Members: []*beamdoorv1.Balancer{{Id: 1, Name: "bench", Nonce: 1}}},
+		View:     &beamdoorv1.View{Cell: 1, Number: 1, Founding: true, Members: []*beamdoorv1.Balancer{{Id: 1, Name: "bench", Nonce: process.router.Nonce()}}},
 		Services: []*beamdoorv1.Service{{
 			Id: 1, Name: "bench", Address: benchService.String(), Cell: 1,
 			Targets: []*beamdoorv1.Target{{Id: 2, Name: "sink", Address: sink, Connections: 1000}},
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -144,6 +144,9 @@
 // Counters returns the statistics.
 func (r *Router) Counters() Counters { return r.counters }
 
+// Nonce returns the number that identifies this run of the process.
+func (r *Router) Nonce() uint64 { return r.settings.Nonce }
+
 // Flows returns the number of flows held.
 func (r *Router) Flows() int { return r.flows.len() }
 
