Services that put balance first: primaries begin at different targets

Cause: 'priority: balance' had no effect on the set-ups: with few flows each, all primaries chose the first of the least loaded targets. Change: each primary begins at a place of the list that follows from its place in the view; a scenario at 70% load.

--- a/internal/lab/sim/scenario_traffic.go
+++ b/internal/lab/sim/scenario_traffic.go
@@ -36,6 +36,17 @@
 			tune:    func(p *Plan) { p.NeverQuiet = true },
 			run:     func(w *World) { w.reusePorts(w.clock.Now().Add(20 * time.Second)) },
 		},
+		{
+			Name:    "busy",
+			Purpose: "short flows at 70% of what the targets can run, to measure the balance",
+			tune: func(p *Plan) {
+				p.ServiceTime = 100 * time.Millisecond
+				p.PostRate = 10
+				p.VisitRate = 200
+				p.Length = 30 * time.Second
+			},
+			run: func(*World) {},
+		},
 		{
 			Name:    "overload",
 			Purpose: "three times more requests than the targets can run",
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -19,15 +19,16 @@
 // pick chooses the target for a new flow, or nil when none takes one. Each
 // primary evens out the flows it has placed itself. A service that puts
 // balance first compares all its targets; one that puts unbroken flows first
-// compares two that were drawn by weight, and draws none that is still warming
-// up when it can (Mitzenmacher, "The Power of Two Choices", 2001).
+// compares two that were drawn by weight, so that a target whose reports make
+// it look best does not get everything (Mitzenmacher, "The Power of Two Choices
+// in Randomized Load Balancing", 2001).
 func (r *Router) pick(owner *service, exclude *target) *target {
 	candidates := r.candidates(owner, exclude)
 	if len(candidates) == 0 {
 		return nil
 	}
 	if owner.balance {
-		return leastLoaded(candidates)
+		return r.leastLoaded(candidates)
 	}
 	first := r.drawByWeight(candidates)
 	second := r.drawByWeight(candidates)
@@ -60,9 +61,18 @@
 	return load / float64(max(candidate.weight, 1))
 }
 
-func leastLoaded(candidates []*target) *target {
-	best := candidates[0]
-	for _, candidate := range candidates[1:] {
+// leastLoaded compares all candidates. Each primary begins at another place of
+// the list, evenly spread by its place in the view, so that primaries with few
+// flows of their own do not all choose the same targets.
+func (r *Router) leastLoaded(candidates []*target) *target {
+	start := 0
+	if r.table.view != nil {
+		position := max(r.table.view.position(r.id), 0)
+		start = position * len(candidates) / max(len(r.table.view.members), 1)
+	}
+	best := candidates[start]
+	for i := range candidates {
+		candidate := candidates[(start+i)%len(candidates)]
 		if loadScore(candidate) < loadScore(best) {
 			best = candidate
 		}
