Bounds for the ledger and for removed targets; quiet flows of removed targets live

Cause: targets that the configuration no longer names were kept for ever, and the ledger had no bound. A test of the first found a fault: a flow that was open on a removed target was forgotten after 45 s of silence instead of the service's idle timeout. Change: removed targets are forgotten once no flow and no request goes to them; a full ledger ends requests as unknown and says so (event 2061); flows keep their service's idle timeout whatever becomes of the target. Measured: the test of removed targets failed before (0 targets, want 1) and passes.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # beamdoor: build, test and run. See README.md.
 
-.PHONY: build demo test check sim bench scale faults fuzz
+.PHONY: build demo test check smoke sim bench scale faults fuzz
 
 SEEDS ?= 1-50
 
@@ -14,6 +14,10 @@
 test:
 	go test ./...
 
+# The whole set-up as separate processes for a few seconds, without faults.
+smoke: build
+	bash scripts/smoke.sh
+
 # Formatter, vet and linter.
 check:
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -52,6 +52,7 @@
 	ControlLost        ID = 2050
 	ControlConnected   ID = 2051
 	FlowTableFull      ID = 2060
+	LedgerFull         ID = 2061
 	RequestUnknown     ID = 2070
 	SocketFailed       ID = 2080
 	DrainLingerExpired ID = 2090
@@ -99,6 +100,7 @@
 	{ControlLost, "control_lost", "connection to the control plane lost"},
 	{ControlConnected, "control_connected", "connection to the control plane opened"},
 	{FlowTableFull, "flow_table_full", "flow table is full and new flows are not kept here"},
+	{LedgerFull, "ledger_full", "no room for more records of requests and new ones end with unknown outcome"},
 	{RequestUnknown, "request_unknown", "request ended with unknown outcome"},
 	{SocketFailed, "socket_failed", "socket operation failed"},
 	{DrainLingerExpired, "drain_linger_expired", "stop forced before all work under way was done"},
--- a/internal/routing/action.go
+++ b/internal/routing/action.go
@@ -55,6 +55,7 @@
 	PacketsTooOld    uint64
 	PeersSuspected   uint64
 	HeldForView      uint64
+	LedgerFull       uint64
 	ServedByBackup   uint64
 	OldViewRefused   uint64
 	WithoutLease     uint64
--- a/internal/routing/flow_test.go
+++ b/internal/routing/flow_test.go
@@ -282,3 +282,19 @@
 		}
 	})
 }
+
+func TestRemovedTargetsAreForgottenOnceUnused(t *testing.T) {
+	c := newCell(t, 1, 2)
+	c.service.Limits.IdleTimeoutMs = 300_000
+	c.configure()
+	used := c.place(1, callerAddress)
+	c.service.Targets = nil
+	c.configure()
+	assert.Len(t, c.routers[1].table.targets, 2)
+	c.pass(3 * time.Minute)
+	assert.Len(t, c.routers[1].table.targets, 1, "the one without flows is forgotten")
+	c.send(1, callerAddress, request(t, codes.GET, 9, nil))
+	assert.Equal(t, used, c.last().target, "the open flow goes on")
+	c.pass(8 * time.Minute)
+	assert.Empty(t, c.routers[1].table.targets)
+}
--- a/internal/routing/primary.go
+++ b/internal/routing/primary.go
@@ -27,7 +27,7 @@
 		r.relayWithoutLease(work)
 		return
 	}
-	if work.unsafe() && (r.answerRepeated(work) || r.holdForView(work)) {
+	if work.unsafe() && (r.answerRepeated(work) || r.holdForView(work) || r.ledgerFull(work)) {
 		return
 	}
 	record, known := r.flows.get(work.fingerprint)
@@ -213,6 +213,27 @@
 	}
 }
 
+// ledgerFull ends a request for which there is no room in the ledger. Without a
+// record it can neither be forwarded nor be said not to run.
+func (r *Router) ledgerFull(work *job) bool {
+	if len(r.ledger.records) < r.settings.LedgerLimit {
+		return false
+	}
+	r.counters.LedgerFull++
+	r.toCaller(work.service, work.caller, r.parser.Answer(codes.GatewayTimeout, 0))
+	return true
+}
+
+// noteFullLedger logs that requests found no room since the last note.
+func (r *Router) noteFullLedger() {
+	if r.counters.LedgerFull == r.ledgerNoted || r.now < r.nextLedgerNote {
+		return
+	}
+	r.nextLedgerNote = r.now.Add(fullTableInterval)
+	r.log(eventlog.LedgerFull, "records", len(r.ledger.records), "ended", r.counters.LedgerFull-r.ledgerNoted)
+	r.ledgerNoted = r.counters.LedgerFull
+}
+
 // holdForView drops a request that may not be repeated while the backup does
 // not answer: forwarded now, its outcome would most likely stay unknown.
 // Nothing is recorded, so the caller's retransmission is a first attempt once
--- a/internal/routing/request_test.go
+++ b/internal/routing/request_test.go
@@ -226,3 +226,15 @@
 	require.Len(t, c.toCallers, 1)
 	assert.Equal(t, codes.GatewayTimeout, c.lastCode())
 }
+
+func TestFullLedgerEndsRequestsWithoutForwarding(t *testing.T) {
+	c := newCell(t, 1, 1)
+	c.routers[1].settings.LedgerLimit = 1
+	c.send(1, callerAddress, request(t, codes.POST, 1, nil))
+	c.send(1, callerAddress, request(t, codes.POST, 2, nil))
+	assert.Len(t, c.toTargets, 1)
+	assert.Equal(t, codes.GatewayTimeout, c.lastCode())
+	c.pass(20 * time.Second)
+	c.send(1, callerAddress, request(t, codes.POST, 3, nil))
+	assert.Len(t, c.toTargets, 2, "records are forgotten in time")
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -64,6 +64,8 @@
 	ReportInterval time.Duration
 	// FlowLimit is the largest number of flows held.
 	FlowLimit int
+	// LedgerLimit is the largest number of request records held.
+	LedgerLimit int
 	// HandoverRate is the budget for handovers in bytes a second.
 	HandoverRate int
 	Scheme       kernel.PluginID
@@ -76,6 +78,7 @@
 	return Settings{
 		ReportInterval: 800 * time.Millisecond,
 		FlowLimit:      600_000,
+		LedgerLimit:    200_000,
 		HandoverRate:   2000,
 		Scheme:         DefaultScheme,
 	}
@@ -117,6 +120,10 @@
 	ownMessageID uint16
 	droppedNoted uint64
 	nextFullNote kernel.Instant
+	nextPrune    kernel.Instant
+
+	ledgerNoted    uint64
+	nextLedgerNote kernel.Instant
 }
 
 // NewRouter returns a router without a configuration.
@@ -209,7 +216,7 @@
 		r.removeMissing(config)
 	}
 	for _, name := range config.RemovedServices {
-		r.table.removeService(name)
+		r.table.removeService(r.now, name)
 	}
 	for _, service := range config.Services {
 		r.table.putService(now, service)
@@ -231,7 +238,7 @@
 	}
 	for name := range r.table.byName {
 		if !named[name] {
-			r.table.removeService(name)
+			r.table.removeService(r.now, name)
 		}
 	}
 }
@@ -349,6 +356,7 @@
 	r.flows.expire(now, r.idleTimeout, r.flowEnded)
 	r.coverage.tick(r)
 	r.handover.tick(r)
+	r.pruneTargets()
 	r.noteFullTable()
 	return r.actions
 }
@@ -358,6 +366,7 @@
 
 // noteFullTable logs that flows found no room since the last note.
 func (r *Router) noteFullTable() {
+	r.noteFullLedger()
 	if r.flows.dropped == r.droppedNoted || r.now < r.nextFullNote {
 		return
 	}
@@ -367,7 +376,7 @@
 }
 
 func (r *Router) idleTimeout(record flowRecord) time.Duration {
-	if owner := r.table.targets[record.targetID]; owner != nil && !owner.removed {
+	if owner := r.table.targets[record.targetID]; owner != nil {
 		return owner.service.limits.idleTimeout
 	}
 	return DefaultRetransmitSpan
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -90,7 +90,8 @@
 	run uint32
 	// removed says that the configuration no longer names the target; its open
 	// flows go on.
-	removed bool
+	removed   bool
+	removedAt kernel.Instant
 	// replaced says that its address belongs to another target now.
 	replaced bool
 	// since is when this balancer first heard of the target.
@@ -263,7 +264,7 @@
 // those that are gone are kept as removed, so that late answers are known.
 func (t *table) putService(now kernel.Instant, config *beamdoorv1.Service) {
 	if previous := t.byName[config.Name]; previous != nil && previous.id != config.Id {
-		t.removeService(config.Name)
+		t.removeService(now, config.Name)
 	}
 	current := t.byID[config.Id]
 	if current == nil {
@@ -284,9 +285,7 @@
 }
 
 func (t *table) putTargets(now kernel.Instant, owner *service, configs []*beamdoorv1.Target) {
-	for _, old := range owner.targets {
-		old.removed = true
-	}
+	removeTargets(now, owner.targets)
 	owner.targets = owner.targets[:0]
 	for _, config := range configs {
 		current := t.targets[config.Id]
@@ -317,14 +316,19 @@
 	owner.replaced = false
 }
 
-func (t *table) removeService(name string) {
+func removeTargets(now kernel.Instant, targets []*target) {
+	for _, old := range targets {
+		old.removed = true
+		old.removedAt = now
+	}
+}
+
+func (t *table) removeService(now kernel.Instant, name string) {
 	gone := t.byName[name]
 	if gone == nil {
 		return
 	}
-	for _, old := range gone.targets {
-		old.removed = true
-	}
+	removeTargets(now, gone.targets)
 	if t.byAddress[gone.address] == gone {
 		delete(t.byAddress, gone.address)
 	}
