--- a/internal/lab/labcli/sim.go
+++ b/internal/lab/labcli/sim.go
@@ -28,6 +28,7 @@
 	scheme   string
 	disabled []string
 	trace    string
+	report   string
 	parallel int
 }
 
@@ -49,6 +50,7 @@
 	set.StringVar(&flags.scheme, "scheme", string(routing.DefaultScheme), "routing scheme")
 	set.StringSliceVar(&flags.disabled, "disable", nil, "mechanisms to go without")
 	set.StringVar(&flags.trace, "trace", "", "file for the whole trace of the last run")
+	set.StringVar(&flags.report, "report", "", "folder for a page with plots of the first seed of each scenario")
 	set.IntVar(&flags.parallel, "parallel", runtime.NumCPU(), "runs at the same time")
 	command.AddCommand(simListCommand())
 	return command
@@ -136,6 +138,11 @@
 			return steperror.Wrap("lab.sim", flags.trace, err)
 		}
 	}
+	if flags.report != "" {
+		if err := writeReport(flags.report, results); err != nil {
+			return err
+		}
+	}
 	return writeSummaries(out, names, results)
 }
 
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -95,6 +95,7 @@
 	NoAnswer     int
 	FlowsHeld    int
 	Operations   []Operation
+	Series       []Sample
 	Trace        []string
 }
 
@@ -181,6 +182,7 @@
 	end := loadAt + w.plan.Length
 	w.clock.After(end, func() { w.stopping = true })
 	w.clock.After(100*time.Millisecond, w.watchWrites)
+	w.clock.After(sampleInterval, w.sample)
 	w.clock.RunUntil(kernel.Instant(end + w.plan.Settle))
 	w.judge()
 }
@@ -209,6 +211,7 @@
 		NotRun:       outcomes[string(report.NotRun)],
 		NoAnswer:     outcomes[string(report.NoAnswer)],
 		Operations:   w.operations(),
+		Series:       w.series,
 		Trace:        w.lines,
 	}
 	for _, b := range w.balancers {
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -50,6 +50,7 @@
 	lastFault  kernel.Instant
 	unfinished []unfinishedRequest
 
+	series     []Sample
 	violations []report.Violation
 	keepTrace  bool
 	lines      []string
