Simulator: time without a control leader

Cause: the aim is writes again in 2 s after the leader's loss, and no figure showed it. Tried first: the time to the next accepted write, which measures the operators' own waits (up to 6.4 s); dropped.

--- a/internal/lab/labcli/sim.go
+++ b/internal/lab/labcli/sim.go
@@ -99,6 +99,7 @@
 	done, unknown, notRun, silent int
 	imbalance, bytes              float64
 	inForce                       time.Duration
+	leaderless                    time.Duration
 	rules                         map[string]int
 	failures                      []sim.Result
 }
@@ -203,6 +204,7 @@
 	s.imbalance += result.Imbalance
 	s.bytes = max(s.bytes, result.ControlBytes)
 	s.inForce = max(s.inForce, result.InForce)
+	s.leaderless = max(s.leaderless, result.Leaderless)
 	if len(result.Violations) > 0 {
 		s.failed++
 		s.failures = append(s.failures, result)
@@ -220,13 +222,13 @@
 func writeSummaries(out io.Writer, names []string, results []sim.Result) error {
 	summaries := summarize(results)
 	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "SCENARIO\tRUNS\tFAILED\tFLOWS\tBROKEN\tDONE\tNOT RUN\tUNKNOWN\tNO ANSWER\tIMBALANCE\tCONTROL B/S\tIN FORCE")
+	fmt.Fprintln(table, "SCENARIO\tRUNS\tFAILED\tFLOWS\tBROKEN\tDONE\tNOT RUN\tUNKNOWN\tNO ANSWER\tIMBALANCE\tCONTROL B/S\tIN FORCE\tLEADERLESS")
 	failed := 0
 	for _, name := range names {
 		s := summaries[name]
 		failed += s.failed
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.0f\t%s\n", name, s.runs, s.failed, s.flows, s.broken,
-			s.done, s.notRun, s.unknown, s.silent, s.imbalance/float64(s.runs), s.bytes, s.inForce.Round(time.Millisecond))
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.0f\t%s\t%s\n", name, s.runs, s.failed, s.flows, s.broken,
+			s.done, s.notRun, s.unknown, s.silent, s.imbalance/float64(s.runs), s.bytes, s.inForce.Round(time.Millisecond), s.leaderless.Round(time.Millisecond))
 	}
 	if err := table.Flush(); err != nil {
 		return err
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -89,14 +89,17 @@
 	Imbalance    float64
 	ControlBytes float64
 	InForce      time.Duration
-	Done         int
-	Unknown      int
-	NotRun       int
-	NoAnswer     int
-	FlowsHeld    int
-	Operations   []Operation
-	Series       []Sample
-	Trace        []string
+	// Leaderless is the longest time from the death of a control leader until
+	// another one took writes.
+	Leaderless time.Duration
+	Done       int
+	Unknown    int
+	NotRun     int
+	NoAnswer   int
+	FlowsHeld  int
+	Operations []Operation
+	Series     []Sample
+	Trace      []string
 }
 
 // Rules returns the names of the broken rules, each once, in order.
@@ -206,6 +209,7 @@
 		Imbalance:    w.report.Imbalance(w.setup.BookingName),
 		ControlBytes: w.controlRate(),
 		InForce:      w.slowestInForce(),
+		Leaderless:   w.leaderless,
 		Done:         outcomes[string(report.Done)],
 		Unknown:      outcomes[string(report.Unknown)],
 		NotRun:       outcomes[string(report.NotRun)],
--- a/internal/lab/sim/scenario.go
+++ b/internal/lab/sim/scenario.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
@@ -141,6 +142,10 @@
 	if m == nil || !m.up {
 		return
 	}
+	if m == w.leader() {
+		lost := w.clock.Now()
+		w.clock.After(time.Millisecond, func() { w.awaitLeader(lost) })
+	}
 	m.crash()
 	generation := m.generation
 	w.clock.After(downFor, func() {
@@ -151,6 +156,16 @@
 	})
 }
 
+// awaitLeader notes how long the control plane was without a leader that
+// takes writes.
+func (w *World) awaitLeader(lost kernel.Instant) {
+	if w.leader() != nil {
+		w.leaderless = max(w.leaderless, w.clock.Now().Sub(lost))
+		return
+	}
+	w.clock.After(10*time.Millisecond, func() { w.awaitLeader(lost) })
+}
+
 // follower returns a random control member that does not lead.
 func (w *World) follower() *member {
 	var list []*member
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -50,7 +50,9 @@
 	lastFault  kernel.Instant
 	unfinished []unfinishedRequest
 
-	series     []Sample
+	series []Sample
+	// leaderless is the longest time without a control leader after one died.
+	leaderless time.Duration
 	violations []report.Violation
 	keepTrace  bool
 	lines      []string
