--- a/internal/lab/sim/scenario_control.go
+++ b/internal/lab/sim/scenario_control.go
@@ -148,7 +148,7 @@
 					b := w.aliveBalancer()
 					w.isolate(b.name, 12*time.Second)
 					w.killMember(w.follower(), 12*time.Second)
-					w.clock.After(500*time.Millisecond, func() { w.manyWrites(200) })
+					w.clock.After(500*time.Millisecond, func() { w.manyWrites(800) })
 				})
 			},
 		},
--- a/internal/lab/sim/scenario_traffic.go
+++ b/internal/lab/sim/scenario_traffic.go
@@ -47,19 +47,9 @@
 			},
 			run: func(*World) {},
 		},
-		{
-			Name:    "overload",
-			Purpose: "three times more requests than the targets can run",
-			tune: func(p *Plan) {
-				p.ServiceTime = 100 * time.Millisecond
-				p.PostRate = 600
-				p.VisitRate = 300
-				p.Length = 20 * time.Second
-				p.MostUnfinished = 0.9
-				p.NeverQuiet = true
-			},
-			run: func(*World) {},
-		},
+		overload("overload-light", "one and a half times as many requests as the targets can run", 1.5, 20*time.Second),
+		overload("overload", "three times as many requests as the targets can run", 3, 20*time.Second),
+		overload("overload-heavy", "ten times as many requests as the targets can run", 10, 6*time.Second),
 		{
 			Name:    "duplicates-detected",
 			Purpose: "targets detect duplicates, one forgets them in a restart",
@@ -78,6 +68,28 @@
 	}
 }
 
+// overloadCapacity is what the booking targets run a second when a request
+// takes 0.1 s: 15 targets with 2 slots.
+const overloadCapacity = 300
+
+// overload returns a scenario with a multiple of the capacity, two thirds of it
+// in open flows.
+func overload(name, purpose string, factor float64, length time.Duration) Scenario {
+	return Scenario{
+		Name:    name,
+		Purpose: purpose,
+		tune: func(p *Plan) {
+			p.ServiceTime = 100 * time.Millisecond
+			p.PostRate = factor * overloadCapacity * 2 / 3
+			p.VisitRate = factor * overloadCapacity / 3
+			p.Length = length
+			p.MostUnfinished = 1 - 0.8/factor
+			p.NeverQuiet = true
+		},
+		run: func(*World) {},
+	}
+}
+
 // reusePorts opens callers one after the other at the same address.
 func (w *World) reusePorts(end kernel.Instant) {
 	if w.clock.Now() >= end {
