Lost history is not counted anew; a noticed restart ends only what was before

Change: owners without all records hand over what they have and since when they know the partition; verdicts carry the run's uptime, and a restart ends only observations and requests from before it (event 2031).

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -231,7 +231,7 @@
 	case wire.FrameGrants:
 		c.receiveGrants(frame)
 	case wire.FrameSignals:
-		c.receiveSignals(frame)
+		c.receiveSignals(now, frame)
 	}
 	c.flush(now)
 	return c.take()
@@ -259,14 +259,14 @@
 	c.deliverGrants(grants)
 }
 
-func (c *Core) receiveSignals(frame wire.Frame) {
+func (c *Core) receiveSignals(now kernel.Instant, frame wire.Frame) {
 	decoder := wire.NewDecoder(frame.Payload)
 	signals := wire.DecodeSignals(decoder)
 	if err := decoder.Err("control.signals"); err != nil {
 		c.log(eventlog.BadFrame, "err", err)
 		return
 	}
-	c.spreadSignals(signals)
+	c.spreadSignals(now, signals)
 }
 
 // Propose appends a command to the replicated log. The outcome follows later
--- a/internal/control/judge.go
+++ b/internal/control/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"sort"
 	"time"
 
@@ -174,6 +175,19 @@
 	return sample
 }
 
+// uptime returns how long the target's process runs by now, in milliseconds.
+func (r *judgeRecord) uptime(now kernel.Instant) uint32 {
+	if r.report == nil {
+		return 0
+	}
+	return addMilliseconds(uint32(min(r.report.UptimeMs, math.MaxUint32)), now.Sub(r.reported))
+}
+
+// addMilliseconds adds a duration and stays within the type.
+func addMilliseconds(milliseconds uint32, passed time.Duration) uint32 {
+	return uint32(min(int64(milliseconds)+passed.Milliseconds(), math.MaxUint32))
+}
+
 // Judge runs the policies and returns, for each cell in which a verdict
 // changed, the verdicts on its targets, with the events to log.
 func (j *Judge) Judge(now kernel.Instant, services []*beamdoorv1.Service, policies Policies) (map[uint32][]wire.TargetSignal, []LogEvent) {
@@ -195,6 +209,7 @@
 				continue
 			}
 			signal := wire.TargetSignal{TargetID: target.Id, Weight: record.verdict.Weight, Alive: record.alive, Run: record.run}
+			signal.UptimeMilliseconds = record.uptime(now)
 			signals[service.Cell] = append(signals[service.Cell], signal)
 		}
 	}
--- a/internal/control/judge_test.go
+++ b/internal/control/judge_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 func newJudged() *judged {
 	service := &beamdoorv1.Service{Name: "s", Cell: 1, SharingPolicy: "builtin/even", HealthPolicy: "builtin/health"}
 	for id := uint32(1); id <= 4; id++ {
-		service.Targets = append(service.Targets, &beamdoorv1.Target{Id: id, Name: "t", Admin: "a", Slots: 2})
+		service.Targets = append(service.Targets, &beamdoorv1.Target{Id: id, Name: fmt.Sprintf("t%d", id), Admin: "a", Slots: 2})
 	}
 	j := &judged{Judge: NewJudge(), services: []*beamdoorv1.Service{service}}
 	j.Adopt(0, j.services)
--- a/internal/control/nodes.go
+++ b/internal/control/nodes.go
@@ -31,7 +31,9 @@
 	byConnection map[ConnectionID]*connectedNode
 	byNonce      map[uint64]*connectedNode
 	byCell       map[uint32]map[ConnectionID]*connectedNode
-	signals      map[uint32]wire.Signals
+	// signals are the newest of each cell, and signalsAt when they came.
+	signals   map[uint32]wire.Signals
+	signalsAt map[uint32]kernel.Instant
 }
 
 func newNodeTable() *nodeTable {
@@ -40,6 +42,7 @@
 		byNonce:      map[uint64]*connectedNode{},
 		byCell:       map[uint32]map[ConnectionID]*connectedNode{},
 		signals:      map[uint32]wire.Signals{},
+		signalsAt:    map[uint32]kernel.Instant{},
 	}
 }
 
@@ -87,7 +90,7 @@
 	if !node.known {
 		node.known = true
 		node.sent = report.Applied
-		c.sendSignals(node)
+		c.sendSignals(now, node)
 	}
 	node.noteReport(report.Applied)
 	c.sendConfig(node)
@@ -208,7 +211,7 @@
 
 // SetSignals spreads new verdicts on the targets of a cell; only a leader
 // calls it.
-func (c *Core) SetSignals(cell uint32, targets []wire.TargetSignal) Output {
+func (c *Core) SetSignals(now kernel.Instant, cell uint32, targets []wire.TargetSignal) Output {
 	if !c.IsLeader() {
 		return c.take()
 	}
@@ -225,11 +228,11 @@
 			c.sendMember(memberID(member.Id), frame)
 		}
 	}
-	c.spreadSignals(signals)
+	c.spreadSignals(now, signals)
 	return c.take()
 }
 
-func (c *Core) spreadSignals(signals wire.Signals) {
+func (c *Core) spreadSignals(now kernel.Instant, signals wire.Signals) {
 	previous := c.nodes.signals[signals.Cell]
 	older := signals.Term < previous.Term
 	older = older || signals.Term == previous.Term && signals.Sequence <= previous.Sequence
@@ -237,14 +240,24 @@
 		return
 	}
 	c.nodes.signals[signals.Cell] = signals
+	c.nodes.signalsAt[signals.Cell] = now
 	frame := wire.SignalsFrame(signals)
 	for _, node := range inOrder(c.nodes.byCell[signals.Cell]) {
 		c.sendNode(node.connection, frame)
 	}
 }
 
-func (c *Core) sendSignals(node *connectedNode) {
-	if signals, known := c.nodes.signals[node.cell]; known {
-		c.sendNode(node.connection, wire.SignalsFrame(signals))
+// sendSignals brings a balancer that has just connected the verdicts of its
+// cell, with uptimes that have grown since.
+func (c *Core) sendSignals(now kernel.Instant, node *connectedNode) {
+	signals, known := c.nodes.signals[node.cell]
+	if !known {
+		return
+	}
+	passed := now.Sub(c.nodes.signalsAt[node.cell])
+	signals.Targets = slices.Clone(signals.Targets)
+	for i := range signals.Targets {
+		signals.Targets[i].UptimeMilliseconds = addMilliseconds(signals.Targets[i].UptimeMilliseconds, passed)
 	}
+	c.sendNode(node.connection, wire.SignalsFrame(signals))
 }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -314,8 +314,8 @@
 	targets []wire.TargetSignal
 }
 
-func (s signalsInput) handle(p *Process, _ kernel.Instant) Output {
-	return p.core.SetSignals(s.cell, s.targets)
+func (s signalsInput) handle(p *Process, now kernel.Instant) Output {
+	return p.core.SetSignals(now, s.cell, s.targets)
 }
 
 type watchInput struct {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -48,6 +48,7 @@
 	HistoryUnknown     ID = 2022
 	HandoverPlanned    ID = 2023
 	TargetLost         ID = 2030
+	TargetRestarted    ID = 2031
 	PacketRefused      ID = 2040
 	ControlLost        ID = 2050
 	ControlConnected   ID = 2051
@@ -96,6 +97,7 @@
 	{HistoryUnknown, "history_unknown", "records of earlier requests lost; outcomes are unknown for the retransmission span"},
 	{HandoverPlanned, "handover_planned", "records are to be handed over for the view"},
 	{TargetLost, "target_lost", "target is dead and its flows end"},
+	{TargetRestarted, "target_restarted", "target has started anew and what its earlier run knew ends"},
 	{PacketRefused, "packet_refused", "packet refused"},
 	{ControlLost, "control_lost", "connection to the control plane lost"},
 	{ControlConnected, "control_connected", "connection to the control plane opened"},
--- a/internal/lab/sim/member.go
+++ b/internal/lab/sim/member.go
@@ -213,7 +213,7 @@
 	}
 	for cell := uint32(0); cell <= m.world.plan.Cells; cell++ {
 		if signals, any := changed[cell]; any {
-			m.carryOut(m.core.SetSignals(cell, signals))
+			m.carryOut(m.core.SetSignals(m.now(), cell, signals))
 		}
 	}
 }
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -56,6 +56,8 @@
 		{"patitas", "lost-disk", 14, "the same"},
 		{"patitas", "chaos", 1, "apply ended a drain"},
 		{"patitas", "chaos", 5, "a target started anew unnoticed"},
+		{"patitas", "freeze-balancer", 117, "owners that changed while records were lost waited anew"},
+		{"patitas", "chaos", 137, "a restart noticed late ended a flow of the new run"},
 		{"patitas", "chaos", 7, "a balancer without configuration answered 4.04"},
 	}
 	for _, test := range tests {
--- a/internal/routing/answer.go
+++ b/internal/routing/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/beamdoor/beamdoor/internal/coapmsg"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
@@ -219,10 +220,35 @@
 	r.log(eventlog.TargetLost, "target", dead.name, "service", dead.service.name, "flows", len(flows))
 }
 
+// endEarlierRun ends what a target's earlier run knew: observations that began
+// before its present run, and requests under way there. Flows go on with the
+// present run, which also has those that began with it.
+func (r *Router) endEarlierRun(restarted *target, began kernel.Instant) {
+	ended := 0
+	for _, fingerprint := range r.flows.of(restarted.id) {
+		entry, known := r.observers[fingerprint]
+		if !known || entry.since >= began {
+			continue
+		}
+		ended++
+		if r.table.view != nil && r.table.view.pairs[PartitionOf(fingerprint)].primary == r.id {
+			r.counters.FlowsBroken++
+			r.endObserver(fingerprint)
+		}
+	}
+	for _, key := range r.ledger.waitingFor(restarted.id) {
+		if request := r.ledger.get(key); request.started < began {
+			r.giveUp(key, request)
+		}
+	}
+	r.log(eventlog.TargetRestarted, "target", restarted.name, "service", restarted.service.name, "observations", ended)
+}
+
 // observer is a caller that waits for notifications of a flow.
 type observer struct {
 	service uint32
 	caller  netip.AddrPort
+	since   kernel.Instant
 	token   [8]byte
 	size    uint8
 }
@@ -236,7 +262,7 @@
 		delete(r.observers, work.fingerprint)
 		return
 	}
-	entry := observer{service: work.service.id, caller: work.caller}
+	entry := observer{service: work.service.id, caller: work.caller, since: r.now}
 	entry.size = uint8(copy(entry.token[:], r.parser.Message.Token))
 	r.observers[work.fingerprint] = entry
 }
--- a/internal/routing/flow_test.go
+++ b/internal/routing/flow_test.go
@@ -298,3 +298,25 @@
 	c.pass(8 * time.Minute)
 	assert.Empty(t, c.routers[1].table.targets)
 }
+
+func TestRestartedTargetEndsOnlyEarlierObservations(t *testing.T) {
+	c := newCell(t, 1, 1)
+	signal := func(sequence uint64, run uint32, uptime time.Duration) {
+		signals := wire.Signals{Term: 1, Sequence: sequence, Targets: []wire.TargetSignal{
+			{TargetID: 100, Weight: 128, Alive: true, Run: run, UptimeMilliseconds: uint32(uptime.Milliseconds())},
+		}}
+		c.carryOut(c.routers[1].HandleSignals(c.now, signals))
+	}
+	signal(1, 7, time.Minute)
+	c.place(1, callerNumber(1))
+	c.pass(10 * time.Second)
+	c.place(1, callerNumber(2))
+	c.toCallers = nil
+	c.pass(time.Second)
+	signal(2, 8, 3*time.Second)
+	require.Len(t, c.toCallers, 1, "the second began with the present run")
+	assert.Equal(t, callerNumber(1), c.toCallers[0].caller)
+	assert.Equal(t, codes.ServiceUnavailable, c.lastCode())
+	signal(3, 8, 4*time.Second)
+	assert.Len(t, c.toCallers, 1, "the same run again changes nothing")
+}
--- a/internal/routing/handover.go
+++ b/internal/routing/handover.go
@@ -20,6 +20,9 @@
 	// records have all been sent.
 	handoverRequestsDone
 	handoverFlowsDone
+	// handoverPartialDone lists partitions whose records have all been sent by
+	// an owner that does not know what came before it, with the time since.
+	handoverPartialDone
 )
 
 const (
@@ -27,6 +30,10 @@
 	handoverBatch = 64
 	// attemptBits is the place of the attempt below the state of a request.
 	attemptBits = 4
+	// ageUnit and maxAge are the unit and the largest number of units of the
+	// time for which an owner knows a partition.
+	ageUnit = 100 * time.Millisecond
+	maxAge  = 1<<16 - 1
 	// forgetUnit and maxForget are the unit and the largest number of units of
 	// the times until a request's deadline and until it is forgotten.
 	forgetUnit = 500 * time.Millisecond
@@ -75,6 +82,7 @@
 		return
 	}
 	partitions := map[uint32][]int{}
+	partial := map[uint32][]int{}
 	owed := map[int]uint32{}
 	for partition := range r.table.view.pairs {
 		partner := r.table.view.pairs[partition].other(r.id)
@@ -82,13 +90,16 @@
 		if !has || partner == 0 || r.coverage.partner[partition] == partner {
 			continue
 		}
+		owed[partition] = partner
 		if r.coverage.coversRequests(partition) {
 			partitions[partner] = append(partitions[partner], partition)
-			owed[partition] = partner
+		} else {
+			partial[partner] = append(partial[partner], partition)
 		}
 	}
 	h.queueRequests(r, owed)
 	h.queueDone(partitions, handoverRequestsDone)
+	h.queuePartial(r, partial)
 	h.queueFlows(r, owed)
 	h.queueDone(partitions, handoverFlowsDone)
 	for _, partner := range sortedKeys(h.jobs) {
@@ -203,6 +214,24 @@
 	}
 }
 
+// queuePartial tells partners since when this balancer knows partitions whose
+// earlier records are lost, so that they need not wait for longer than it does.
+func (h *handover) queuePartial(r *Router, partitions map[uint32][]int) {
+	for _, partner := range sortedKeys(partitions) {
+		for batch := range slices.Chunk(partitions[partner], handoverDoneBatch) {
+			var encoder wire.Encoder
+			encoder.Uint8(uint8(handoverPartialDone))
+			encoder.Uint32(uint32(len(batch)))
+			for _, partition := range batch {
+				age := r.now.Sub(r.coverage.since[partition]) / ageUnit
+				encoder.Uint16(uint16(partition))
+				encoder.Uint16(uint16(min(age, maxAge)))
+			}
+			h.add(partner, encoder.Buffer, batch)
+		}
+	}
+}
+
 // tick sends the next message of each job as far as the budget goes.
 func (h *handover) tick(r *Router) {
 	rate := float64(r.settings.HandoverRate)
@@ -267,6 +296,8 @@
 			r.takeRequest(decoder)
 		case handoverFlows:
 			r.takeFlow(decoder)
+		case handoverPartialDone:
+			r.takePartial(decoder)
 		default:
 			r.takeDone(kind, int(decoder.Uint16()), packet.From)
 		}
@@ -320,6 +351,19 @@
 	r.flows.put(fingerprint, record)
 }
 
+// takePartial learns since when the partner knows a partition. The age was true
+// when the message was made; it can only have grown since.
+func (r *Router) takePartial(decoder *wire.Decoder) {
+	partition := int(decoder.Uint16())
+	since := r.now.Add(-time.Duration(decoder.Uint16()) * ageUnit)
+	if partition >= Partitions || !r.table.view.pairs[partition].has(r.id) {
+		return
+	}
+	if since < r.coverage.since[partition] {
+		r.coverage.since[partition] = since
+	}
+}
+
 func (r *Router) takeDone(kind handoverKind, partition int, from uint32) {
 	if partition >= Partitions || !r.table.view.pairs[partition].has(r.id) {
 		return
--- a/internal/routing/request_test.go
+++ b/internal/routing/request_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -238,3 +239,40 @@
 	c.send(1, callerAddress, request(t, codes.POST, 3, nil))
 	assert.Len(t, c.toTargets, 2, "records are forgotten in time")
 }
+
+// Owners that change again while records are lost do not begin to wait anew:
+// the test follows a flow whose first owners were both lost, and whose owners
+// in the end are both balancers that joined one by one since.
+func TestLostHistoryIsNotCountedAnewWithEachView(t *testing.T) {
+	const firstJoiner = 20
+	c := newCell(t, 6, 3)
+	lostPrimary, lostBackup, left := c.owners(callerAddress)
+	var lost []netip.AddrPort
+	for i := range 2000 {
+		primary, backup, _ := c.owners(callerNumber(i))
+		if primary == lostPrimary && backup == lostBackup {
+			lost = append(lost, callerNumber(i))
+		}
+	}
+	c.cut[lostPrimary], c.cut[lostBackup] = true, true
+	c.changeView(left...)
+	for step := uint32(0); step < 4; step++ {
+		c.pass(3 * time.Second)
+		left = append(append([]uint32{}, left...), firstJoiner+step)
+		c.changeView(left...)
+	}
+	c.pass(3 * time.Second)
+	tried := 0
+	for _, caller := range lost {
+		primary, backup, _ := c.owners(caller)
+		if primary < firstJoiner || backup < firstJoiner {
+			continue
+		}
+		tried++
+		before := len(c.toTargets)
+		c.send(primary, caller, request(t, codes.POST, 1, nil))
+		require.Equal(t, before+1, len(c.toTargets), "15 s after the loss, whatever the views since")
+		c.answer(primary, c.last(), codes.Changed)
+	}
+	assert.NotZero(t, tried)
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -272,8 +272,13 @@
 	r.signalsTerm = signals.Term
 	r.signalsSeq = signals.Sequence
 	for _, signal := range signals.Targets {
-		if died := r.table.applySignal(signal); died != nil {
-			r.endTarget(died)
+		changed, effect := r.table.applySignal(signal)
+		switch effect {
+		case signalDied:
+			r.endTarget(changed)
+		case signalRestarted:
+			uptime := time.Duration(signal.UptimeMilliseconds) * time.Millisecond
+			r.endEarlierRun(changed, now.Add(-uptime))
 		}
 	}
 	return r.actions
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -364,12 +364,23 @@
 	return time.Duration(value) * time.Millisecond
 }
 
-// applySignal puts a verdict in force. It returns the target when all its
-// flows have ended: it died, or it started anew and knows them no more.
-func (t *table) applySignal(signal wire.TargetSignal) *target {
+// signalEffect is what a verdict means for the flows of its target.
+type signalEffect uint8
+
+const (
+	// signalGoesOn changes nothing for open flows.
+	signalGoesOn signalEffect = iota
+	// signalDied ends all flows.
+	signalDied
+	// signalRestarted ends what the target's earlier run knew.
+	signalRestarted
+)
+
+// applySignal puts a verdict in force.
+func (t *table) applySignal(signal wire.TargetSignal) (*target, signalEffect) {
 	current := t.targets[signal.TargetID]
 	if current == nil {
-		return nil
+		return nil, signalGoesOn
 	}
 	died := current.alive && !signal.Alive
 	restarted := signal.Run != 0 && current.run != 0 && signal.Run != current.run
@@ -378,8 +389,11 @@
 	if signal.Run != 0 {
 		current.run = signal.Run
 	}
-	if died || restarted {
-		return current
+	switch {
+	case died:
+		return current, signalDied
+	case restarted:
+		return current, signalRestarted
 	}
-	return nil
+	return current, signalGoesOn
 }
--- a/internal/wire/node.go
+++ b/internal/wire/node.go
@@ -113,6 +113,8 @@
 	Alive bool
 	// Run identifies the run of the target's process; 0 is not known.
 	Run uint32
+	// UptimeMilliseconds is how long that run has lasted.
+	UptimeMilliseconds uint32
 }
 
 // Signals are the verdicts on all targets of a cell.
@@ -124,7 +126,7 @@
 	Targets  []TargetSignal
 }
 
-const signalSize = 10
+const signalSize = 14
 
 // EncodeSignals appends signals to the encoder.
 func EncodeSignals(encoder *Encoder, signals Signals) {
@@ -137,6 +139,7 @@
 		encoder.Uint8(signal.Weight)
 		encoder.Bool(signal.Alive)
 		encoder.Uint32(signal.Run)
+		encoder.Uint32(signal.UptimeMilliseconds)
 	}
 }
 
@@ -154,6 +157,8 @@
 			Weight:   decoder.Uint8(),
 			Alive:    decoder.Bool(),
 			Run:      decoder.Uint32(),
+
+			UptimeMilliseconds: decoder.Uint32(),
 		})
 	}
 	return signals
