Simulator: healthy balancers stay in their view; two members frozen at once

The rule was too weak for the mechanism, and the scenario seldom left a frozen leader in place. The end-to-end test took ports that others could take.

--- a/internal/lab/e2e/e2e_test.go
+++ b/internal/lab/e2e/e2e_test.go
@@ -6,10 +6,12 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
+	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,17 +43,17 @@
 // patience bounds every wait; nothing is judged by how long it takes.
 const patience = 60 * time.Second
 
-func freeAddress(t *testing.T, network string) string {
-	if network == "tcp" {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = listener.Close() }()
-		return listener.Addr().String()
-	}
-	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = socket.Close() }()
-	return socket.LocalAddr().String()
+// nextPort counts the ports given out. They lie below the range from which the
+// system takes ports for outgoing connections.
+var nextPort atomic.Uint32
+
+// freeAddress returns an address of its own for each use: the loopback IP
+// belongs to this process, and the port is given out once.
+func freeAddress() string {
+	const firstPort = 20000
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(64 + pid>>16&0x3f), byte(pid >> 8), byte(pid)})
+	return netip.AddrPortFrom(ip, uint16(firstPort+nextPort.Add(1))).String()
 }
 
 // system is a whole set-up in this process.
@@ -83,11 +85,11 @@
 }
 
 func newSystem(t *testing.T, balancers int) *system {
-	s := &system{t: t, folder: t.TempDir(), booking: freeAddress(t, "udp"), documents: freeAddress(t, "udp"), back: freeAddress(t, "udp"), egress: freeAddress(t, "udp")}
-	s.platform = &platform.Settings{Listen: freeAddress(t, "tcp"), Lag: 200 * time.Millisecond}
+	s := &system{t: t, folder: t.TempDir(), booking: freeAddress(), documents: freeAddress(), back: freeAddress(), egress: freeAddress()}
+	s.platform = &platform.Settings{Listen: freeAddress(), Lag: 200 * time.Millisecond}
 	var admin []string
 	for id := uint32(1); id <= 3; id++ {
-		member := settings.Member{ID: id, Peer: freeAddress(t, "tcp"), Nodes: freeAddress(t, "tcp"), Admin: freeAddress(t, "tcp")}
+		member := settings.Member{ID: id, Peer: freeAddress(), Nodes: freeAddress(), Admin: freeAddress()}
 		s.members = append(s.members, member)
 		admin = append(admin, member.Admin)
 	}
@@ -105,7 +107,7 @@
 	s.spawn(platform.New(s.platform).Run)
 	running, err := fabric.New(fabric.Settings{
 		Services: []string{s.booking, s.documents}, Return: s.back, Egress: s.egress,
-		Admin: freeAddress(t, "tcp"), Platform: s.platform.Listen, Seed: 1,
+		Admin: freeAddress(), Platform: s.platform.Listen, Seed: 1,
 	})
 	require.NoError(t, err)
 	s.spawn(running.Run)
@@ -126,7 +128,7 @@
 }
 
 func (s *system) startTarget(name, service string) {
-	address, admin := freeAddress(s.t, "udp"), freeAddress(s.t, "tcp")
+	address, admin := freeAddress(), freeAddress()
 	running, err := target.New(target.Settings{
 		Backend: backend.Settings{Name: name, Slots: 2, Queue: 64, ServiceTime: time.Millisecond, Notify: 100 * time.Millisecond, Seed: 1},
 		Listen:  address, Admin: admin, Return: s.back, Service: service,
@@ -139,7 +141,7 @@
 func (s *system) startBalancer(number int) {
 	loaded := &settings.Balancer{
 		Name: fmt.Sprintf("b%d", number), Zone: "z", Cell: 1, Fabric: s.egress,
-		Callers: freeAddress(s.t, "udp"), Targets: freeAddress(s.t, "udp"), Peers: freeAddress(s.t, "udp"), Admin: freeAddress(s.t, "tcp"),
+		Callers: freeAddress(), Targets: freeAddress(), Peers: freeAddress(), Admin: freeAddress(),
 	}
 	for _, member := range s.members {
 		loaded.Control = append(loaded.Control, member.Nodes)
--- a/internal/lab/sim/oracle.go
+++ b/internal/lab/sim/oracle.go
@@ -22,6 +22,7 @@
 	RuleHearOfDeath = "callers hear of a target's death"
 	RuleRecovers    = "the system recovers"
 	RuleProgress    = "work gets done"
+	RuleHealthy     = "healthy balancers stay in their view"
 	RuleQuiet       = "all work gets done after the faults"
 )
 
@@ -100,6 +101,9 @@
 	}
 	w.judgeWrites(leader.core.Store())
 	w.judgeQuiet()
+	if now := leader.core.Store().View(1).GetNumber(); w.plan.ViewsStay && now != w.firstView {
+		w.violate(RuleHealthy, "view %d before the faults, view %d after", w.firstView, now)
+	}
 	for _, b := range w.balancers {
 		if b.up && !b.frozen && !b.leaving && !b.router.InView() {
 			w.violate(RuleRecovers, "%s is in no view at the end", b.name)
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -194,7 +194,12 @@
 func (w *World) configure(scenario Scenario) {
 	w.operators.apply("setup", w.operators.revision(), w.services(), nil, nil)
 	w.clock.After(loadAt-configureAt, w.startLoad)
-	w.clock.After(faultsAt-configureAt, func() { scenario.run(w) })
+	w.clock.After(faultsAt-configureAt, func() {
+		if leader := w.leader(); leader != nil {
+			w.firstView = leader.core.Store().View(1).GetNumber()
+		}
+		scenario.run(w)
+	})
 }
 
 func (w *World) result(options Options) Result {
--- a/internal/lab/sim/scenario_control.go
+++ b/internal/lab/sim/scenario_control.go
@@ -15,6 +15,7 @@
 		{
 			Name:    "race",
 			Purpose: "operators write on equal revisions, lose answers and send again while leaders die",
+			tune:    func(p *Plan) { p.ViewsStay = true },
 			run: func(w *World) {
 				w.operators.loseAnswers = 0.3
 				w.race(3, 25*time.Second)
@@ -25,6 +26,7 @@
 		{
 			Name:    "kill-leader",
 			Purpose: "the leader of the control plane dies during writes, twice",
+			tune:    func(p *Plan) { p.ViewsStay = true },
 			run: func(w *World) {
 				w.race(2, 25*time.Second)
 				w.soon(func() { w.killMember(w.leader(), 6*time.Second) })
@@ -67,6 +69,7 @@
 		{
 			Name:    "freeze-leader",
 			Purpose: "the leader stops for seconds and wakes with a lapsed lease",
+			tune:    func(p *Plan) { p.ViewsStay = true },
 			run: func(w *World) {
 				w.race(3, 25*time.Second)
 				for range 3 {
@@ -77,6 +80,7 @@
 		{
 			Name:    "silent-member",
 			Purpose: "a member is cut off in silence for long, then comes back",
+			tune:    func(p *Plan) { p.ViewsStay = true },
 			run: func(w *World) {
 				w.race(2, 30*time.Second)
 				w.soon(func() {
@@ -115,6 +119,7 @@
 		{
 			Name:    "deaf-leader",
 			Purpose: "the leader is heard by the other members but hears none of them",
+			tune:    func(p *Plan) { p.ViewsStay = true },
 			run: func(w *World) {
 				w.race(2, 25*time.Second)
 				w.soon(func() {
@@ -329,10 +334,19 @@
 	w.clock.After(resendWait, func() { w.proposeUntil(command, made, done) })
 }
 
+// freezeLeader stops the leader, and sometimes another member for longer, so
+// that nobody can take over and the leader goes on as such.
 func (w *World) freezeLeader() {
-	if leader := w.leader(); leader != nil {
-		leader.freeze(w.between(500*time.Millisecond, 6*time.Second))
+	leader := w.leader()
+	if leader == nil {
+		return
+	}
+	length := w.between(500*time.Millisecond, 6*time.Second)
+	if other := w.follower(); other != nil && w.random.IntN(2) == 0 {
+		length = w.between(500*time.Millisecond, 2500*time.Millisecond)
+		other.freeze(length + time.Second)
 	}
+	leader.freeze(length)
 }
 
 // breakDisk makes the next write or sync of a member fail; it stops, and is
--- a/internal/lab/sim/setup.go
+++ b/internal/lab/sim/setup.go
@@ -95,6 +95,9 @@
 	// DownloadsMayFail allows downloads that get no answer at all for longer
 	// than their callers wait; what comes must be right nevertheless.
 	DownloadsMayFail bool
+	// ViewsStay says that the scenario touches no balancer, so that none may
+	// leave its view.
+	ViewsStay bool
 	// NeverQuiet says that the faults last until the end.
 	NeverQuiet bool
 }
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -47,7 +47,9 @@
 	stopping       bool
 	// lastFault is when the last fault began or ended, and unfinished are the
 	// requests that ended without the target's answer or a refusal.
-	lastFault  kernel.Instant
+	lastFault kernel.Instant
+	// firstView is the number of the view when the faults begin.
+	firstView  uint64
 	unfinished []unfinishedRequest
 
 	series []Sample
