--- a/internal/cli/writes.go
+++ b/internal/cli/writes.go
@@ -167,13 +167,21 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			api := o.client()
 			start := time.Now()
+			var before int64
 			for time.Since(start) < o.timeout {
 				status, err := o.leaderStatus(cmd.Context(), api)
 				if err != nil {
 					return err
 				}
 				for _, entry := range status.Balancers {
-					if entry.Balancer.Name == args[0] && entry.LeaseLeftMs > 0 {
+					if entry.Balancer.Name != args[0] || entry.View == 0 {
+						continue
+					}
+					// A lease that grows is renewed now, and is not that of an
+					// earlier run which has ended.
+					renewed := before > 0 && entry.LeaseLeftMs > before
+					before = entry.LeaseLeftMs
+					if renewed {
 						fmt.Fprintf(cmd.OutOrStdout(), "%s is in view %d of cell %d\n", args[0], entry.View, entry.Balancer.Cell)
 						return nil
 					}
