--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -137,7 +137,10 @@
 	if len(parsed.Services)+len(parsed.Policies)+len(file.RemoveServices)+len(file.RemovePolicies) == 0 {
 		collector.Add("file", "", "holds no services and no policies")
 	}
-	return parsed, collector.Err()
+	if err := collector.Err(); err != nil {
+		return nil, err
+	}
+	return parsed, nil
 }
 
 // DecodeStrict decodes YAML and notes every unknown field and wrong type.
