--- a/internal/routing/flow_test.go
+++ b/internal/routing/flow_test.go
@@ -235,22 +235,29 @@
 	}
 }
 
-// BenchmarkFlowMemory reports the bytes that a flow takes in a full table.
+// BenchmarkFlowMemory reports the bytes that a flow takes at three sizes.
 func BenchmarkFlowMemory(b *testing.B) {
-	const flows = 300_000
-	for b.Loop() {
-		c := newCell(b, 1, 15)
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		for i := range uint64(flows) {
-			c.routers[1].flows.put(i*0x9e3779b97f4a7c15, flowRecord{targetID: 100})
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
-		runtime.KeepAlive(c)
+	for _, flows := range []uint64{100_000, 300_000, 600_000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(flowMemory(b, flows), "B/flow")
+			}
+		})
+	}
+}
+
+func flowMemory(b *testing.B, flows uint64) float64 {
+	c := newCell(b, 1, 15)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range flows {
+		c.routers[1].flows.put(i*0x9e3779b97f4a7c15, flowRecord{targetID: 100})
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(c)
+	return float64(after.HeapAlloc-before.HeapAlloc) / float64(flows)
 }
 
 // Any single change of the members leaves one owner in place, and owners stand
