Scale run notes the number of changes

Cause: the capacity page's slopes lack one over changes. Change: the number of changes is a column of the table.

--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -55,7 +55,7 @@
 
 // Row is the measurement of one run, in the order of its columns.
 type Row struct {
-	Nodes, Targets, Services, Probed int
+	Nodes, Targets, Services, Probed, Changes int
 	// Join and Reconnect are the times in seconds until every node has joined
 	// after a start, and until every node has a revision that was written after
 	// all connections broke. Restart is the time until a zone's nodes, all
@@ -91,7 +91,7 @@
 		out:     out,
 		fleet:   newFleet(options),
 		client:  adminclient.New(options.Admin, callTimeout),
-		row:     Row{Nodes: options.Hollow, Targets: options.Targets, Services: options.Services, Probed: options.Probed},
+		row:     Row{Nodes: options.Hollow, Targets: options.Targets, Services: options.Services, Probed: options.Probed, Changes: options.Changes},
 	}
 	if options.Probed > 0 {
 		listener, err := net.Listen("tcp", options.ProbeListen)
