--- a/internal/edge/subscriber.go
+++ b/internal/edge/subscriber.go
@@ -20,17 +20,17 @@
 )
 
 const (
-	// silenceLimit is the longest time without a byte from a member.
-	silenceLimit = 3*registry.AliveInterval + 100*time.Millisecond
-	// notCurrentLimit is how long a member may be not current.
-	notCurrentLimit = 700 * time.Millisecond
+	// SilenceLimit is the longest time without a byte from a member.
+	SilenceLimit = 3*registry.AliveInterval + 100*time.Millisecond
+	// NotCurrentLimit is how long a member may be not current.
+	NotCurrentLimit = 700 * time.Millisecond
 	// reportCapacity is the number of reports that wait for a slow member.
 	reportCapacity = 8
 	// retryPause is the wait between two attempts to reach a member.
 	retryPause = 40 * time.Millisecond
-	// farLimit is how long the node stays with a member of another zone
+	// FarLimit is how long the node stays with a member of another zone
 	// before it tries one of its own zone again.
-	farLimit = 8 * time.Second
+	FarLimit = 8 * time.Second
 )
 
 // errNearer ends the stream of a far member.
@@ -41,16 +41,16 @@
 type subscriber struct {
 	process  *Process
 	revision uint64
-	// candidates are the members that can be followed.
-	candidates candidates
-	suspects   []directory.Token
-	lost       []directory.Token
+	// list holds the members that can be followed.
+	list     *steer.MemberList
+	suspects []directory.Token
+	lost     []directory.Token
 
 	// currentAt is when a member last said that it was current.
 	currentAt atomic.Pointer[time.Time]
 
 	mutex sync.Mutex
-	// seeds are taken over into candidates before the next attempt.
+	// seeds are taken over into the list before the next attempt.
 	seeds []string
 	// reports is the queue to the member that is followed, or nil.
 	reports *ring.Ring[wire.Frame]
@@ -58,9 +58,9 @@
 
 func newSubscriber(process *Process) *subscriber {
 	return &subscriber{
-		process:    process,
-		candidates: candidates{zone: process.settings.Zone},
-		seeds:      process.settings.Seeds,
+		process: process,
+		list:    steer.NewMemberList(process.settings.Zone),
+		seeds:   process.settings.Seeds,
 	}
 }
 
@@ -80,8 +80,8 @@
 // followed the order is made anew, since more members may be known by then.
 func (s *subscriber) run() {
 	for {
-		s.candidates.seeds = s.currentSeeds()
-		for _, member := range s.candidates.order() {
+		s.list.Seeds = s.currentSeeds()
+		for _, member := range s.list.Order() {
 			followed := s.follow(member)
 			select {
 			case <-s.process.stopped:
@@ -98,7 +98,7 @@
 // follow takes updates from a member until it is silent or not current. It
 // returns false when the member could not be reached.
 func (s *subscriber) follow(member directory.Member) bool {
-	s.candidates.noteFault(member.Address, time.Now())
+	s.list.NoteFault(member.Address, s.process.now())
 	connection, err := peerlink.Dial(member.Address)
 	if err != nil {
 		s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
@@ -114,14 +114,14 @@
 	defer s.closeReports()
 	err = s.read(connection, member)
 	if errors.Is(err, errNearer) {
-		s.candidates.clearFaults()
+		s.list.ClearFaults()
 	}
 	s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
 	return true
 }
 
 func (s *subscriber) read(connection net.Conn, member directory.Member) error {
-	reader := bufio.NewReader(peerlink.NewReader(connection, silenceLimit))
+	reader := bufio.NewReader(peerlink.NewReader(connection, SilenceLimit))
 	opened := time.Now()
 	currentAt := opened
 	for {
@@ -138,7 +138,7 @@
 		if err != nil {
 			return err
 		}
-		if s.candidates.isFar(member) && time.Since(opened) > farLimit {
+		if s.list.IsFar(member) && time.Since(opened) > FarLimit {
 			return steperror.Wrap("edge.follow", member.Address, errNearer)
 		}
 	}
@@ -164,7 +164,7 @@
 		return steperror.New("edge.apply", "", "the update does not fit")
 	}
 	s.revision = outcome.revision
-	s.candidates.members = outcome.members
+	s.list.Members = outcome.members
 	return nil
 }
 
@@ -176,7 +176,7 @@
 		return currentAt, err
 	}
 	if !alive.Current {
-		if time.Since(currentAt) > notCurrentLimit {
+		if time.Since(currentAt) > NotCurrentLimit {
 			return currentAt, steperror.New("edge.follow", "", "the member is not current")
 		}
 		return currentAt, nil
--- a/internal/lab/fleetsim/edge.go
+++ b/internal/lab/fleetsim/edge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/directory"
+	product "github.com/beamdoor/beamdoor/internal/edge"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/registry"
 	"github.com/beamdoor/beamdoor/internal/steer"
@@ -15,9 +16,6 @@
 	probeInterval  = 500 * time.Millisecond
 	// missesUntilOut is the number of probes missed before routers leave a node out.
 	missesUntilOut = 2
-	// silenceLimit and notCurrentLimit are those of the product's subscriber.
-	silenceLimit    = 1300 * time.Millisecond
-	notCurrentLimit = 700 * time.Millisecond
 )
 
 // edge is one node between callers and targets.
@@ -35,8 +33,14 @@
 	in     bool
 	misses int
 
+	// held are frames of members that a cut holds up, in order.
+	held []heldFrame
+	list *steer.MemberList
+	// left is the address of the member that was tried last.
+	left       string
 	member     *member
 	connection registry.ConnectionID
+	openedAt   kernel.Instant
 	heardAt    kernel.Instant
 	currentAt  kernel.Instant
 	startedAt  kernel.Instant
@@ -49,6 +53,7 @@
 	settings.Random = e.world.random
 	settings.Chooser = nearby()
 	e.core = steer.New(settings)
+	e.list = steer.NewMemberList(e.zone, steer.WithShuffle(e.world.random.Shuffle))
 	e.up = true
 	e.ready = false
 	e.leaving = false
@@ -93,8 +98,13 @@
 		return
 	}
 	e.send(evidence)
-	silent := w.now.Sub(e.heardAt) > silenceLimit
-	stale := w.now.Sub(e.currentAt) > notCurrentLimit
+	if e.list.IsFar(directory.Member{Address: e.member.name}) && w.now.Sub(e.openedAt) > product.FarLimit {
+		e.list.ClearFaults()
+		e.leave()
+		return
+	}
+	silent := w.now.Sub(e.heardAt) > product.SilenceLimit
+	stale := w.now.Sub(e.currentAt) > product.NotCurrentLimit
 	if silent || stale || !e.member.up {
 		e.leave()
 	}
@@ -127,29 +137,27 @@
 	})
 }
 
-// follow subscribes to a member, one of the own zone if that can be reached.
+// follow subscribes to the next member of the list, as the product's
+// subscriber does.
 func (e *edge) follow() {
 	w := e.world
-	var near, far []*member
-	for _, m := range w.members {
-		switch {
-		case !m.up || w.cuts[m.name] || w.cuts[e.name]:
-		case m.zone == e.zone:
-			near = append(near, m)
-		default:
-			far = append(far, m)
-		}
-	}
-	if len(near) == 0 || w.random.IntN(3) == 0 {
-		near = append(near, far...)
+	if w.settings.Switches.ForgetFaults {
+		e.list.ClearFaults()
+		e.list.NoteFault(e.left, w.now)
 	}
-	if len(near) == 0 {
+	e.list.Members = e.core.Members()
+	e.list.Seeds = w.memberNames()
+	address := e.list.Order()[0].Address
+	e.list.NoteFault(address, w.now)
+	e.left = address
+	m := w.memberAt(address)
+	if m == nil || !m.up || w.cuts[m.name] || w.cuts[e.name] {
 		return
 	}
-	m := near[w.random.IntN(len(near))]
 	m.nextConn++
 	e.member = m
 	e.connection = m.nextConn
+	e.openedAt = w.now
 	e.heardAt = w.now
 	e.currentAt = w.now
 	m.nodes[e.connection] = e
@@ -167,9 +175,54 @@
 	e.member = nil
 }
 
+// holdInterval is the time after which held frames are offered again.
+const holdInterval = 50 * time.Millisecond
+
+// heldFrame is a frame of a member on its way to a node.
+type heldFrame struct {
+	from       *member
+	life       int
+	connection registry.ConnectionID
+	frame      wire.Frame
+}
+
+// arrive takes a frame from a stream. A cut holds a stream up and loses nothing
+// of it, as TCP does.
+func (e *edge) arrive(held heldFrame) {
+	e.held = append(e.held, held)
+	if len(e.held) == 1 {
+		e.release()
+	}
+}
+
+// release hands on the held frames in order, once no cut is in their way.
+func (e *edge) release() {
+	w := e.world
+	for len(e.held) > 0 {
+		next := e.held[0]
+		if !e.follows(next.from, next.connection) {
+			e.held = e.held[1:]
+			continue
+		}
+		if w.cuts[e.name] || w.cuts[next.from.name] {
+			w.after(holdInterval, e.release)
+			return
+		}
+		e.held = e.held[1:]
+		if next.from.life == next.life {
+			e.receive(next.from, next.connection, next.frame)
+		}
+	}
+}
+
+// follows reports whether a connection is the one that the node reads.
+func (e *edge) follows(from *member, connection registry.ConnectionID) bool {
+	return e.up && e.member == from && e.connection == connection
+}
+
 // receive takes a frame of the member that is followed.
 func (e *edge) receive(from *member, connection registry.ConnectionID, frame wire.Frame) {
-	if !e.up || e.member != from || e.connection != connection {
+	if !e.follows(from, connection) {
 		return
 	}
 	w := e.world
--- a/internal/lab/fleetsim/fault.go
+++ b/internal/lab/fleetsim/fault.go
@@ -16,12 +16,12 @@
 	faults := []func(time.Duration){
 		w.killEdge, w.killEdges, w.killMember, w.wipeMember, w.restartAll, w.cutMember, w.cutEdge,
 		w.crashTarget, w.cutTarget, w.drainTarget, w.replaceMember, w.reuseAddress,
-		w.rollEdge, w.lureTargets,
+		w.rollEdge, w.splitMembers, w.lureTargets,
 	}
 	length := time.Duration(300+w.random.IntN(4000)) * time.Millisecond
 	chosen := w.random.IntN(len(faults))
 	faults[chosen](length)
-	if chosen == len(faults)-1 {
+	if chosen >= len(faults)-2 {
 		length = lureTime
 	}
 	w.after(contact+length+time.Duration(w.random.Int64N(int64(faultPause))), w.nextFault)
@@ -210,3 +210,18 @@
 		w.after(contact+time.Duration(number)*time.Second, func() { w.drainTarget(0) })
 	}
 }
+
+// splitMembers cuts the group in two for longer than the contact time, so that
+// nodes must find the larger side.
+func (w *World) splitMembers(time.Duration) {
+	w.random.Shuffle(len(w.members), func(a, b int) { w.members[a], w.members[b] = w.members[b], w.members[a] })
+	for _, m := range w.members[:(len(w.members)-1)/2] {
+		w.split[m.name] = true
+		w.note("%s on the small side of a split", m.name)
+	}
+	w.disturb(group)
+	w.after(lureTime, func() {
+		w.disturb(group)
+		clear(w.split)
+	})
+}
--- a/internal/lab/fleetsim/member.go
+++ b/internal/lab/fleetsim/member.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/directory"
@@ -52,6 +53,24 @@
 	return names
 }
 
+func (w *World) memberAt(name string) *member {
+	for _, m := range w.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// founders returns the names of the members that found the group.
+func (w *World) founders() []string {
+	var names []string
+	for number := range w.settings.Members {
+		names = append(names, fmt.Sprintf("member-%d", number+1))
+	}
+	return names
+}
+
 // start opens the disk and begins; it panics on a disk that cannot be read,
 // which the emulated one never makes of what was synced.
 func (m *member) start() {
@@ -66,10 +85,11 @@
 	settings := registry.DefaultCoreSettings()
 	settings.Address = m.name
 	settings.Zone = m.zone
+	settings.Voters = m.world.settings.Members
 	settings.Seeds = m.world.memberNames()
 	settings.Bootstrap = m.bootstrap
 	if m.bootstrap {
-		settings.Seeds = []string{"member-1", "member-2", "member-3"}
+		settings.Seeds = m.world.founders()
 	}
 	settings.Raft.Identity = identity
 	settings.Raft.Random = m.world.random
@@ -103,12 +123,8 @@
 	}
 	for _, message := range output.Nodes {
 		if e, connected := m.nodes[message.Connection]; connected {
-			life := m.life
-			w.after(between(m.zone, e.zone), func() {
-				if m.life == life && !w.cuts[m.name] && !w.cuts[e.name] {
-					e.receive(m, message.Connection, message.Frame)
-				}
-			})
+			held := heldFrame{from: m, life: m.life, connection: message.Connection, frame: message.Frame}
+			w.after(between(m.zone, e.zone), func() { e.arrive(held) })
 		}
 	}
 	for _, outcome := range output.Outcomes {
@@ -136,9 +152,10 @@
 	return crossZone
 }
 
-// deliver hands a frame to a member unless one of the two is cut off.
+// deliver hands a frame to a member unless one of the two is cut off or they
+// stand on two sides of a split.
 func (w *World) deliver(from string, message registry.AddressedFrame) {
-	if w.cuts[from] || w.cuts[message.To] {
+	if w.cuts[from] || w.cuts[message.To] || w.split[from] != w.split[message.To] {
 		return
 	}
 	for _, m := range w.members {
--- a/internal/lab/fleetsim/world.go
+++ b/internal/lab/fleetsim/world.go
@@ -34,13 +34,17 @@
 	HastyLoss bool
 	// EarlyDrain acknowledges a drain before the group has it.
 	EarlyDrain bool
+	// ForgetFaults makes nodes remember only the member that they left last.
+	ForgetFaults bool
 	// KeepOld makes nodes ignore that targets drain.
 	KeepOld bool
 }
 
 // Settings of a run.
 type Settings struct {
-	Seed     uint64
+	Seed uint64
+	// Members is the number of members that found the group and vote.
+	Members  int
 	Edges    int
 	Targets  int
 	Callers  int
@@ -94,6 +98,9 @@
 	operator operator
 	// cuts are the parts that are cut off from all others, by name.
 	cuts map[string]bool
+	// split holds the members on the smaller side while the group is split in
+	// two; nodes, targets and the operator reach both sides.
+	split map[string]bool
 	// disturbedAt is when a part was last disturbed, by name; the group of
 	// members has the name "group".
 	disturbedAt map[string]kernel.Instant
@@ -112,6 +119,7 @@
 		now:         kernel.Instant(time.Minute),
 		random:      rand.New(rand.NewPCG(settings.Seed, 77)),
 		oracle:      &Oracle{},
+		split:       map[string]bool{},
 		cuts:        map[string]bool{},
 		disturbedAt: map[string]kernel.Instant{},
 		plannedAt:   map[string]kernel.Instant{},
@@ -219,8 +227,8 @@
 }
 
 func (w *World) build() {
-	for number := range 3 {
-		w.addMember(fmt.Sprintf("member-%d", number+1), Zones[number%len(Zones)], true)
+	for number, name := range w.founders() {
+		w.addMember(name, Zones[number%len(Zones)], true)
 	}
 	for number := range w.settings.Edges {
 		e := &edge{world: w, name: fmt.Sprintf("edge-%d", number+1), zone: Zones[number%len(Zones)]}
--- a/internal/lab/fleetsim/world_test.go
+++ b/internal/lab/fleetsim/world_test.go
@@ -25,7 +25,7 @@
 }
 
 func settings(seed uint64) Settings {
-	return Settings{Seed: seed, Edges: 6, Targets: 9, Callers: 40, Length: 40 * time.Second, Faults: true}
+	return Settings{Seed: seed, Members: 3 + 2*int(seed%2), Edges: 6, Targets: 9, Callers: 40, Length: 40 * time.Second, Faults: true}
 }
 
 func TestACalmDayIsServedWhole(t *testing.T) {
@@ -63,6 +63,7 @@
 		rule     string
 	}{
 		"a node alone holds targets for lost": {Switches{HastyLoss: true}, "FLOW"},
+		"nodes go between two members":        {Switches{ForgetFaults: true}, "CONFIG"},
 		"a drain is acknowledged early":       {Switches{EarlyDrain: true}, "DRAIN"},
 		"nodes ignore that targets drain":     {Switches{KeepOld: true}, "DRAIN"},
 	}
--- a/internal/edge/candidates_test.go
+++ b/internal/steer/memberlist_test.go
@@ -1,4 +1,4 @@
-package edge
+package steer
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 	"github.com/beamdoor/beamdoor/internal/directory"
 )
 
-var faultTime = time.Unix(1000, 0)
+const faultTime = start
 
 func addresses(members []directory.Member) []string {
 	var list []string
@@ -22,20 +22,22 @@
 // A node that found its first member by a seed went on through the old list of
 // seeds, each of another zone, every 8 s (300 machines: 180 of 280 nodes).
 func TestTheOwnZoneComesFirstOnceTheMembersAreKnown(t *testing.T) {
-	c := candidates{zone: "north", seeds: []string{"a", "b", "c"}}
-	assert.ElementsMatch(t, []string{"a", "b", "c"}, addresses(c.order()))
-	c.members = []directory.Member{{Address: "a", Zone: "south"}, {Address: "b", Zone: "north"}, {Address: "c", Zone: "west"}}
+	l := NewMemberList("north")
+	l.Seeds = []string{"a", "b", "c"}
+	assert.ElementsMatch(t, []string{"a", "b", "c"}, addresses(l.Order()))
+	l.Members = []directory.Member{{Address: "a", Zone: "south"}, {Address: "b", Zone: "north"}, {Address: "c", Zone: "west"}}
 	for range 20 {
-		assert.Equal(t, "b", c.order()[0].Address)
+		assert.Equal(t, "b", l.Order()[0].Address)
 	}
-	assert.True(t, c.isFar(directory.Member{Address: "a"}), "a seed whose zone is known by now")
-	assert.False(t, c.isFar(directory.Member{Address: "b"}))
+	assert.True(t, l.IsFar(directory.Member{Address: "a"}), "a seed whose zone is known by now")
+	assert.False(t, l.IsFar(directory.Member{Address: "b"}))
 }
 
 func TestAMemberThatWasLeftForAFaultComesLast(t *testing.T) {
-	c := candidates{zone: "north", members: []directory.Member{{Address: "a", Zone: "south"}, {Address: "b", Zone: "north"}}}
-	c.noteFault("b", faultTime)
-	order := addresses(c.order())
+	l := NewMemberList("north")
+	l.Members = []directory.Member{{Address: "a", Zone: "south"}, {Address: "b", Zone: "north"}}
+	l.NoteFault("b", faultTime)
+	order := addresses(l.Order())
 	assert.Equal(t, "a", order[0])
 	assert.Equal(t, "b", order[len(order)-1])
 }
@@ -48,29 +50,32 @@
 		{Address: "own", Zone: "north"}, {Address: "b", Zone: "south"}, {Address: "c", Zone: "south"},
 		{Address: "d", Zone: "west"}, {Address: "e", Zone: "west"},
 	}
-	c := candidates{zone: "north", members: members}
+	l := NewMemberList("north")
+	l.Members = members
 	tried := map[string]bool{}
 	for visit := range len(members) {
-		next := c.order()[0].Address
+		next := l.Order()[0].Address
 		assert.False(t, tried[next], "visit %d goes to %s again", visit, next)
 		tried[next] = true
-		c.noteFault(next, faultTime.Add(time.Duration(visit)*time.Second))
+		l.NoteFault(next, faultTime.Add(time.Duration(visit)*time.Second))
 	}
-	assert.Equal(t, "own", c.order()[0].Address, "the own zone comes first in the next round")
+	assert.Equal(t, "own", l.Order()[0].Address, "the own zone comes first in the next round")
 }
 
 func TestANearerMemberIsTriedAgainAfterItsFault(t *testing.T) {
-	c := candidates{zone: "north", members: []directory.Member{{Address: "a", Zone: "south"}, {Address: "b", Zone: "north"}}}
-	c.noteFault("b", faultTime)
-	c.noteFault("a", faultTime.Add(time.Second))
-	c.clearFaults()
-	assert.Equal(t, "b", c.order()[0].Address)
+	l := NewMemberList("north")
+	l.Members = []directory.Member{{Address: "a", Zone: "south"}, {Address: "b", Zone: "north"}}
+	l.NoteFault("b", faultTime)
+	l.NoteFault("a", faultTime.Add(time.Second))
+	l.ClearFaults()
+	assert.Equal(t, "b", l.Order()[0].Address)
 }
 
 func TestFaultsOfForgottenAddressesAreDropped(t *testing.T) {
-	c := candidates{zone: "north", seeds: []string{"old", "new"}}
-	c.noteFault("old", faultTime)
-	c.seeds = []string{"new", "newer"}
-	c.order()
-	assert.Empty(t, c.faults)
+	l := NewMemberList("north")
+	l.Seeds = []string{"old", "new"}
+	l.NoteFault("old", faultTime)
+	l.Seeds = []string{"new", "newer"}
+	l.Order()
+	assert.Empty(t, l.faults)
 }
