Members serve 300 machines and 3,000 targets with a tenth of a core

Waiting requests were handed on every 250 ms, all of them; a registration looked through all targets; a member that had no time took its leader for silent; long lists of suspects went to each node every 100 ms. Change: at most 64 requests of a member with the leader, more than 256 are refused at once; targets found by address; a member whose ticks come late reads what has arrived before it holds others for silent; updates to nodes are paced by their number; suspects travel with the next sign of life and never more than half of all targets; new connections wait while ticks come late; a member that takes more than 50 heartbeats a second names nodes for the later ones, which acknowledge what they know to hold and redirect the rest to their member.

--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -43,6 +44,8 @@
 	edits          []keptEdit
 	targets        map[string]*Target
 	tokens         map[Token]*Target
+	// addresses holds the target that was registered last at each address.
+	addresses map[netip.AddrPort]*Target
 	// changes holds each target at its last change, and some that have changed
 	// again since, in the order of revisions.
 	changes []change
@@ -59,7 +62,9 @@
 	return &State{
 		targets: map[string]*Target{},
 		tokens:  map[Token]*Target{},
-		members: map[uint32]Member{},
+
+		addresses: map[netip.AddrPort]*Target{},
+		members:   map[uint32]Member{},
 	}
 }
 
@@ -168,15 +173,14 @@
 		s.advance(position, known, offered.State)
 		return
 	}
-	for _, other := range s.targets {
-		if other.Address == offered.Address {
-			s.advance(position, other, TargetEnded)
-		}
+	if other, taken := s.addresses[offered.Address]; taken {
+		s.advance(position, other, TargetEnded)
 	}
 	target := offered
 	target.Token = s.freeToken(offered.ID)
 	s.targets[target.ID] = &target
 	s.tokens[target.Token] = &target
+	s.addresses[target.Address] = &target
 	s.noteChange(position, &target)
 	if target.State == TargetEnded {
 		s.rememberEnded(target.ID)
@@ -213,10 +217,13 @@
 	if len(s.ended) <= endedLimit {
 		return
 	}
-	oldest := s.ended[0]
+	oldest := s.targets[s.ended[0]]
 	s.ended = slices.Clone(s.ended[1:])
-	delete(s.tokens, s.targets[oldest].Token)
-	delete(s.targets, oldest)
+	delete(s.tokens, oldest.Token)
+	delete(s.targets, oldest.ID)
+	if s.addresses[oldest.Address] == oldest {
+		delete(s.addresses, oldest.Address)
+	}
 }
 
 // endTarget notes that a target ends. One that drained first has no flows
@@ -299,6 +306,9 @@
 		kept := target
 		s.targets[kept.ID] = &kept
 		s.tokens[kept.Token] = &kept
+		if kept.State != TargetEnded {
+			s.addresses[kept.Address] = &kept
+		}
 		s.changes = append(s.changes, change{revision: kept.Revision, target: &kept})
 	}
 	slices.SortStableFunc(s.changes, func(a, b change) int { return cmp.Compare(a.revision, b.revision) })
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -17,6 +17,8 @@
 	waited      prometheus.Counter
 	overflow    prometheus.Counter
 	writeErrors prometheus.Counter
+	beatsTaken  prometheus.Counter
+	beatsLeft   prometheus.Counter
 	flows       prometheus.Gauge
 	revision    prometheus.Gauge
 	version     prometheus.Gauge
@@ -35,6 +37,8 @@
 		waited:      set.Counter("waited_total", "packets that came before the node was ready"),
 		overflow:    set.Counter("overflow_total", "datagrams that found no room in the ring"),
 		writeErrors: set.Counter("write_errors_total", "datagrams that could not be sent"),
+		beatsTaken:  set.Counter("heartbeats_taken_total", "heartbeats of targets that were acknowledged"),
+		beatsLeft:   set.Counter("heartbeats_left_total", "heartbeats of targets that were left to a control member"),
 		flows:       set.Gauge("flows", "flows counted as open"),
 		revision:    set.Gauge("revision", "revision of the directory in force"),
 		version:     set.Gauge("configuration_version", "version of the configuration in force"),
@@ -52,3 +56,11 @@
 
 // Metrics returns the handler of the metrics address.
 func (p *Process) Metrics() http.Handler { return p.metrics.set.Handler() }
+
+func (m *metrics) countBeat(taken bool) {
+	if taken {
+		m.beatsTaken.Inc()
+		return
+	}
+	m.beatsLeft.Inc()
+}
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -15,7 +15,9 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/heartbeat"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/registry"
 	"github.com/beamdoor/beamdoor/internal/ring"
 	"github.com/beamdoor/beamdoor/internal/steer"
 	"github.com/beamdoor/beamdoor/internal/steperror"
@@ -31,7 +33,12 @@
 	reportsPerSweep = 10
 	// maxDatagram is the largest datagram in bytes that is read.
 	maxDatagram = 2048
-	readBuffer  = 1 << 20
+	// reportsPerHeard is the number of reports of which one tells the heartbeats.
+	reportsPerHeard = 5
+	// beatStateAge is the greatest age of the node's state with which it
+	// acknowledges heartbeats.
+	beatStateAge = time.Second
+	readBuffer   = 1 << 20
 )
 
 // Settings are the settings of a node's process.
@@ -42,6 +49,9 @@
 	Packets string
 	// Seeds are addresses of control members, some of which may be gone.
 	Seeds []string
+	// Beats is the address at which this node takes heartbeats of targets, or
+	// "" when it takes none.
+	Beats string
 	// LeaveTime is how long the node forwards after it was told to stop.
 	LeaveTime time.Duration
 	Format    Format
@@ -62,6 +72,7 @@
 	output     []byte
 	subscriber *subscriber
 	metrics    *metrics
+	beats      *heartbeat.Cache
 	ready      atomic.Bool
 	leaving    atomic.Bool
 	group      sync.WaitGroup
@@ -87,6 +98,7 @@
 		inputs:   ring.New[input](inputCapacity),
 		buffers:  sync.Pool{New: func() any { return new([maxDatagram]byte) }},
 		metrics:  newMetrics(),
+		beats:    heartbeat.NewCache(),
 		stopped:  make(chan struct{}),
 		waiting:  newWaitlist(),
 	}
@@ -108,6 +120,22 @@
 	}
 }
 
+// errNotTaken refuses a heartbeat that belongs to a member.
+var errNotTaken = steperror.New("edge.beat", "", "the node does not know that what the heartbeat says holds")
+
+// Beat takes a heartbeat of a target. It succeeds when what the heartbeat says is
+// known to hold and the node's state is fresh. Every other one belongs to a member;
+// the address is that of the one that the node follows, or "".
+func (p *Process) Beat(_ context.Context, beat registry.Heartbeat) (address string, err error) {
+	fresh := !p.leaving.Load() && p.subscriber.stateAge() <= beatStateAge
+	taken := fresh && p.beats.Take(beat.Target.ID, beat.Target.State)
+	p.metrics.countBeat(taken)
+	if !taken {
+		return p.subscriber.followed(), errNotTaken
+	}
+	return "", nil
+}
+
 // SetSeeds replaces the seed addresses after the settings have changed.
 func (p *Process) SetSeeds(seeds []string) { p.subscriber.setSeeds(seeds) }
 
@@ -210,8 +238,12 @@
 type tickInput struct{}
 
 func (tickInput) handle(p *Process, now kernel.Instant) {
-	p.subscriber.report(p.core.Report(now, reportInterval))
 	p.ticks++
+	var heard []directory.Token
+	if p.ticks%reportsPerHeard == 0 {
+		heard = p.beats.TakeHeard()
+	}
+	p.subscriber.report(p.core.Report(now, reportInterval), heard)
 	if p.ticks%reportsPerSweep == 0 {
 		p.core.Tick(now)
 		p.metrics.flows.Set(float64(p.core.Flows()))
@@ -303,9 +335,13 @@
 
 func (i updateInput) handle(p *Process, now kernel.Instant) {
 	before := p.core.Version()
+	revision := p.core.Revision()
 	started := time.Now()
 	fits := p.core.Update(now, i.update)
 	p.metrics.applying.Observe(time.Since(started).Seconds())
+	if fits && p.core.Revision() > revision {
+		p.beats.Follow(i.update.Targets)
+	}
 	p.noteReadiness()
 	p.metrics.revision.Set(float64(p.core.Revision()))
 	p.metrics.version.Set(float64(p.core.Version()))
--- a/internal/edge/subscriber.go
+++ b/internal/edge/subscriber.go
@@ -46,6 +46,8 @@
 	suspects []directory.Token
 	lost     []directory.Token
 
+	// following is the address of the member that is followed, or "".
+	following atomic.Pointer[string]
 	// currentAt is when a member last said that it was current.
 	currentAt atomic.Pointer[time.Time]
 
@@ -105,11 +107,13 @@
 		return false
 	}
 	defer func() { _ = connection.Close() }()
-	subscribe := registry.Subscribe{Node: s.process.settings.Name, Zone: s.process.settings.Zone, Revision: s.revision, Waited: time.Since(s.process.started)}
+	subscribe := registry.Subscribe{Node: s.process.settings.Name, Zone: s.process.settings.Zone, Revision: s.revision, Waited: time.Since(s.process.started), Beats: s.process.settings.Beats}
 	if err := peerlink.Write(connection, wire.AppendFrame(nil, subscribe.Frame())); err != nil {
 		return false
 	}
 	s.process.logger.Sampled(eventlog.ControlConnected, "address", member.Address, "zone", member.Zone, "revision", s.revision)
+	s.following.Store(&member.Address)
+	defer s.following.Store(nil)
 	s.openReports(connection)
 	defer s.closeReports()
 	err = s.read(connection, member)
@@ -191,6 +195,14 @@
 	return now, nil
 }
 
+// followed returns the address of the member that is followed, or "".
+func (s *subscriber) followed() string {
+	if address := s.following.Load(); address != nil {
+		return *address
+	}
+	return ""
+}
+
 // stateAge returns how long ago a member last said that it was current; since
 // the start when none has.
 func (s *subscriber) stateAge() time.Duration {
@@ -227,10 +239,10 @@
 	s.reports = nil
 }
 
-// report sends evidence to the member that is followed. Without one, or when
+// report sends evidence and the targets heard to the member that is followed. Without one, or when
 // the member does not read, it is dropped: the next report says the same.
-func (s *subscriber) report(evidence steer.Evidence) {
-	message := registry.Evidence{Answering: evidence.Answering}
+func (s *subscriber) report(evidence steer.Evidence, heard []directory.Token) {
+	message := registry.Evidence{Answering: evidence.Answering, Heard: heard}
 	for _, silent := range evidence.Silent {
 		message.Silent = append(message.Silent, registry.SilentTarget{Token: silent.Token, Weight: silent.Weight, Nodes: 1})
 	}
--- /dev/null
+++ b/internal/heartbeat/heartbeat_test.go
@@ -0,0 +1,73 @@
+package heartbeat
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+)
+
+func TestOnlyHeartbeatsThatChangeNothingAreTaken(t *testing.T) {
+	cache := NewCache()
+	target := directory.Target{ID: "i-1", Token: 7, State: directory.TargetReady}
+	assert.False(t, cache.Take("i-1", directory.TargetReady), "not registered")
+	cache.Follow([]directory.Target{target})
+	assert.True(t, cache.Take("i-1", directory.TargetReady))
+	assert.False(t, cache.Take("i-1", directory.TargetDraining), "a drain must be on the disks of a quorum first")
+	assert.Equal(t, []directory.Token{7}, cache.TakeHeard())
+	assert.Empty(t, cache.TakeHeard())
+	target.State = directory.TargetDraining
+	cache.Follow([]directory.Target{target})
+	assert.True(t, cache.Take("i-1", directory.TargetDraining))
+	target.State = directory.TargetEnded
+	cache.Follow([]directory.Target{target})
+	assert.False(t, cache.Take("i-1", directory.TargetReady), "a target that has ended")
+	target.State = directory.TargetReady
+	cache.Follow([]directory.Target{target})
+	cache.Reset()
+	assert.False(t, cache.Take("i-1", directory.TargetReady), "another state")
+}
+
+func busySpread(t *testing.T) (*Spread, *time.Time) {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	spread := NewSpread(WithOwnRate(10), WithClock(func() time.Time { return now }))
+	return spread, &now
+}
+
+// At 300 machines members spent all their time on heartbeats and none was
+// acknowledged (sweep of swancoast-geo-grown, 36539bc3).
+func TestABusyMemberPassesTargetsOnToNodesOfTheirZone(t *testing.T) {
+	spread, now := busySpread(t)
+	spread.Add(1, "north", "n1")
+	spread.Add(2, "north", "n2")
+	spread.Add(3, "south", "s1")
+	spread.Add(4, "south", "")
+	chosen := map[string]int{}
+	for number := range 100 {
+		chosen[spread.Choose("north", fmt.Sprint("i-", number))]++
+	}
+	assert.Equal(t, 10, chosen[""], "so many a second stay")
+	assert.Greater(t, chosen["n1"], 20)
+	assert.Greater(t, chosen["n2"], 20)
+	assert.Zero(t, chosen["s1"])
+	assert.Contains(t, []string{"n1", "n2", "s1"}, spread.Choose("west", "i-1"), "no node in its zone")
+	*now = now.Add(1500 * time.Millisecond)
+	assert.NotEmpty(t, spread.Choose("north", "i-1"), "busy in the last second")
+	*now = now.Add(5 * time.Second)
+	assert.Empty(t, spread.Choose("north", "i-1"), "idle again")
+}
+
+func TestNodesThatHaveGoneAreNotChosen(t *testing.T) {
+	spread, _ := busySpread(t)
+	spread.Add(1, "north", "n1")
+	for range 20 {
+		spread.Choose("north", "i-1")
+	}
+	assert.Equal(t, "n1", spread.Choose("north", "i-1"))
+	spread.Remove(1)
+	assert.Empty(t, spread.Choose("north", "i-1"))
+}
--- /dev/null
+++ b/internal/hosting/calls.go
@@ -0,0 +1,38 @@
+package hosting
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// retryAfterSeconds is told to callers whose request was not taken.
+const retryAfterSeconds = "1"
+
+// ReadBody reads the whole body of a call, or answers why it cannot be taken.
+func ReadBody(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(writer, "body is too large", http.StatusRequestEntityTooLarge)
+		return nil, false
+	}
+	if err != nil {
+		http.Error(writer, "body is not whole", http.StatusBadRequest)
+		return nil, false
+	}
+	return body, true
+}
+
+// Unavailable tells a caller to come again, here or elsewhere.
+func Unavailable(writer http.ResponseWriter) {
+	writer.Header().Set("Retry-After", retryAfterSeconds)
+	http.Error(writer, "not taken", http.StatusServiceUnavailable)
+}
+
+// WriteJSON answers a call with a JSON body.
+func WriteJSON(writer http.ResponseWriter, status int, body []byte) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_, _ = writer.Write(body)
+}
--- a/internal/hosting/hosting.go
+++ b/internal/hosting/hosting.go
@@ -10,6 +10,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -27,15 +29,45 @@
 	reloadInterval = time.Second
 )
 
+// acceptPause is the time between two looks at whether the process is busy.
+const acceptPause = 10 * time.Millisecond
+
+// ServeOption changes how calls are served.
+type ServeOption func(*pacedListener)
+
+// WithPace lets new connections wait while the process is busy: a process that
+// has no time for its own duties must not spend it on more callers.
+func WithPace(isBusy func() bool) ServeOption {
+	return func(l *pacedListener) { l.isBusy = isBusy }
+}
+
+// pacedListener accepts connections while the process is not busy.
+type pacedListener struct {
+	net.Listener
+	isBusy func() bool
+}
+
+// Accept implements net.Listener.
+func (l *pacedListener) Accept() (net.Conn, error) {
+	for l.isBusy != nil && l.isBusy() {
+		time.Sleep(acceptPause)
+	}
+	return l.Listener.Accept()
+}
+
 // Serve answers HTTP calls at an IPv4 address until the process ends. Callers
 // that stall are dropped.
-func Serve(address string, handler http.Handler) error {
+func Serve(address string, handler http.Handler, opts ...ServeOption) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return steperror.Wrap("hosting.listen", address, err)
 	}
+	paced := &pacedListener{Listener: listener}
+	for _, opt := range opts {
+		opt(paced)
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(paced) }()
 	return nil
 }
 
@@ -64,6 +96,26 @@
 	}
 }
 
+// WatchSeeds reads the seed addresses again after each SIGHUP, and now and then
+// without one, and passes them on when they have changed. Settings that cannot
+// be read change nothing.
+func WatchSeeds(ctx context.Context, logger *eventlog.Logger, read func() ([]string, error), set func([]string)) {
+	current, _ := read()
+	WatchSettings(ctx, func() {
+		next, err := read()
+		if err != nil {
+			logger.Sampled(eventlog.SettingsReloaded, "changed", false, "err", err)
+			return
+		}
+		if slices.Equal(next, current) {
+			return
+		}
+		current = next
+		logger.Event(eventlog.SettingsReloaded, "changed", true, "seeds", strings.Join(next, " "))
+		set(next)
+	})
+}
+
 // WatchSettings calls reload after each SIGHUP, and now and then without one,
 // until the context ends.
 func WatchSettings(ctx context.Context, reload func()) {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -46,6 +46,8 @@
 	NoIdentity bool
 	// NoTermCommit counts replicas of entries of earlier terms (Raft paper, figure 8).
 	NoTermCommit bool
+	// NoStallCheck holds others for silent after this process had no time.
+	NoStallCheck bool
 }
 
 // Settings are the fixed settings of a member.
@@ -123,11 +125,15 @@
 	leaderContact kernel.Instant
 	heardLeader   bool
 	electionAt    kernel.Instant
-	electedAt     kernel.Instant
-	electedIndex  uint64
-	votes         map[MemberID]bool
-	peers         map[MemberID]*progress
-	incoming      incomingSnapshot
+	// tickedAt is when Tick was last called.
+	tickedAt kernel.Instant
+	// patientUntil is when others may be held for silent again after a stall.
+	patientUntil kernel.Instant
+	electedAt    kernel.Instant
+	electedIndex uint64
+	votes        map[MemberID]bool
+	peers        map[MemberID]*progress
+	incoming     incomingSnapshot
 
 	hardChanged bool
 	unsavedFrom uint64
@@ -304,6 +310,7 @@
 
 // Tick lets time pass: elections, heartbeats and the check of the quorum.
 func (n *Node) Tick(now kernel.Instant) {
+	n.noteStall(now)
 	if n.role == Leader {
 		n.tickLeader(now)
 		return
@@ -320,9 +327,25 @@
 	}
 }
 
+// stallLimit is the longest time between two ticks of a process that runs.
+const stallLimit = 100 * time.Millisecond
+
+// noteStall gives a process whose ticks came late the time to read what has
+// arrived meanwhile, before it holds others for silent.
+func (n *Node) noteStall(now kernel.Instant) {
+	late := n.tickedAt != 0 && now.Sub(n.tickedAt) > stallLimit
+	n.tickedAt = now
+	if !late || n.settings.Mechanisms.NoStallCheck {
+		return
+	}
+	n.patientUntil = now.Add(stallLimit)
+	n.electionAt = max(n.electionAt, n.patientUntil)
+}
+
 func (n *Node) tickLeader(now kernel.Instant) {
 	silence := now.Sub(n.quorumContact(now))
-	if silence > 2*n.settings.ElectionTimeout && !n.settings.Mechanisms.NoCheckQuorum {
+	patient := now.Before(n.patientUntil)
+	if silence > 2*n.settings.ElectionTimeout && !patient && !n.settings.Mechanisms.NoCheckQuorum {
 		n.becomeFollower(now, n.hard.Term, NoMember)
 		return
 	}
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -306,3 +306,42 @@
 		assert.Equal(t, message, again)
 	})
 }
+
+// A member that had no time took the leader for silent, since it had not read
+// what had arrived; 175 changes of role in 48 s kept a group of busy members
+// without a leader (own copy of a site with 300 machines, 00fa0c5b).
+func TestAMemberWhoseTicksComeLateDoesNotHoldOthersForSilent(t *testing.T) {
+	for _, without := range []bool{false, true} {
+		t.Run(fmt.Sprint("without ", without), func(t *testing.T) {
+			g := newGroup(t, 3, func(s *Settings) { s.Mechanisms.NoStallCheck = without })
+			g.run(3 * time.Second)
+			term := g.leader().Term()
+			stalled := g.now.Add(3 * time.Second)
+			roles := map[MemberID]Role{}
+			for id, node := range g.nodes {
+				node.Tick(stalled)
+				roles[id] = node.Role()
+			}
+			g.now = stalled
+			changed := false
+			for id, node := range g.nodes {
+				changed = changed || node.Role() == PreCandidate || node.Role() == Candidate || (roles[id] == Follower && node.Leader() == NoMember)
+			}
+			assert.Equal(t, without, changed)
+			g.run(time.Second)
+			if !without {
+				assert.Equal(t, term, g.leader().Term())
+			}
+		})
+	}
+}
+
+func TestAStallDoesNotPutOffAnElectionForLong(t *testing.T) {
+	g := newGroup(t, 3, nil)
+	g.run(3 * time.Second)
+	dead := g.leader().settings.ID
+	g.cut[dead] = true
+	g.now = g.now.Add(3 * time.Second)
+	g.run(3 * time.Second)
+	assert.NotEqual(t, dead, g.leader().settings.ID)
+}
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -70,12 +70,14 @@
 }
 
 // Beat takes a heartbeat. It returns once what must hold of it is on the
-// disks of a quorum: that the target exists, and that it drains.
-func (p *Process) Beat(ctx context.Context, beat Heartbeat) error {
-	if p.beats.take(beat.Target.ID, beat.Target.State) {
-		return nil
+// disks of a quorum: that the target exists, and that it drains. The address is
+// that of a node for the target's later heartbeats, or "" when it is to stay, as
+// it does until its nodes can know it.
+func (p *Process) Beat(ctx context.Context, beat Heartbeat) (address string, err error) {
+	if p.beats.Take(beat.Target.ID, beat.Target.State) {
+		return p.spread.Choose(beat.Target.Zone, beat.Target.ID), nil
 	}
-	_, err := p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
+	_, err = p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
 		core.Heard(now, beat.Target.ID)
 		known, registered := core.State().Target(beat.Target.ID)
 		if registered && known.State >= beat.Target.State {
@@ -83,7 +85,7 @@
 		}
 		return core.Submit(now, directory.Command{Kind: directory.CommandPutTarget, Target: beat.Target})
 	})
-	return err
+	return "", err
 }
 
 // End takes the word of a target that it ends.
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -165,14 +165,21 @@
 	nextJoin   kernel.Instant
 
 	requests map[Ticket]*request
+	// handed is the number of requests that the leader has, as of the last tick
+	// and those handed on since.
+	handed int
+	// answered are the requests that wait for this member to apply the log.
+	answered []Ticket
 	// commands finds the open request of a command: targets that get no answer
 	// say the same again, at this and other members.
 	commands  map[string]*request
 	ticket    Ticket
 	proposals map[uint64]proposal
 	nodes     map[ConnectionID]*subscription
-	members   membershipKeeper
-	liveness  livenessTable
+	// nextSpread is when nodes may get the next updates.
+	nextSpread kernel.Instant
+	members    membershipKeeper
+	liveness   livenessTable
 
 	output   Output
 	restored raft.Restored
--- a/internal/registry/core_test.go
+++ b/internal/registry/core_test.go
@@ -775,3 +775,89 @@
 	}
 	return s.Storage.Save(ready, whole)
 }
+
+// At 300 machines members handed each waiting request on four times a second,
+// and the leader had time for nothing else (sweep 36539bc3).
+func TestAMemberHasFewRequestsWithTheLeaderAndRefusesTooMany(t *testing.T) {
+	c := newCluster(t, 16, 3)
+	leader := c.waitForLeader()
+	c.run(time.Second)
+	follower := c.machines[address(2)]
+	if follower == leader {
+		follower = c.machines[address(3)]
+	}
+	handed := 0
+	var refused []Outcome
+	for number := range openLimit + 10 {
+		_, output := follower.core.Submit(c.now, put(fmt.Sprint("i-", number), fmt.Sprintf("10.1.%d.%d:1", number/200, number%200), directory.TargetReady))
+		for _, message := range output.Members {
+			if message.Frame.Kind == wire.FrameForward {
+				handed++
+			}
+		}
+		refused = append(refused, output.Outcomes...)
+		c.take(follower, output)
+	}
+	assert.Equal(t, handedLimit, handed)
+	require.Len(t, refused, 10, "refused at once")
+	assert.ErrorIs(t, refused[0].Err, errOverloaded)
+	c.runUntil(2*time.Second, "all others are done", func() bool { return follower.core.State().TargetCount() == openLimit })
+}
+
+// In a split most targets told members on the other side of it; the leader
+// suspected 79 of 123, and the others got all flows (swancoast-geo-grown
+// trouble-3).
+func TestWhenMostTargetsSeemSilentNoneIsSuspected(t *testing.T) {
+	c := newCluster(t, 17, 3)
+	leader := c.waitForLeader()
+	for number := range 5 {
+		require.NoError(t, c.submit(leader, put(fmt.Sprint("i-", number), fmt.Sprintf("10.1.1.%d:1", number), directory.TargetReady)).Err)
+	}
+	beat := func(targets int) {
+		for range 50 {
+			for number := range targets {
+				leader.core.Heard(c.now, fmt.Sprint("i-", number))
+			}
+			c.run(100 * time.Millisecond)
+		}
+	}
+	beat(3)
+	assert.Len(t, leader.core.liveness.verdicts.Suspects, 2)
+	beat(2)
+	assert.Empty(t, leader.core.liveness.verdicts.Suspects)
+}
+
+func TestHeartbeatsAtNodesCountAsHeard(t *testing.T) {
+	c := newCluster(t, 18, 3)
+	leader := c.waitForLeader()
+	var tokens []directory.Token
+	for number := range 4 {
+		id := fmt.Sprint("i-", number)
+		require.NoError(t, c.submit(leader, put(id, fmt.Sprintf("10.1.1.%d:1", number), directory.TargetReady)).Err)
+		target, _ := leader.core.State().Target(id)
+		tokens = append(tokens, target.Token)
+	}
+	for range 50 {
+		c.observe(leader, 1, Evidence{Heard: tokens[:3]})
+		c.run(100 * time.Millisecond)
+	}
+	assert.Equal(t, tokens[3:], leader.core.liveness.verdicts.Suspects)
+}
+
+func TestManyNodesGetChangesTogether(t *testing.T) {
+	c := newCluster(t, 19, 1)
+	leader := c.waitForLeader()
+	const nodes = 100
+	for connection := range ConnectionID(nodes) {
+		c.take(leader, leader.core.Open(c.now, connection+1, Subscribe{Node: "edge"}))
+	}
+	c.run(time.Second)
+	before := len(leader.updates)
+	for number := range 40 {
+		require.NoError(t, c.submit(leader, put(fmt.Sprint("i-", number), fmt.Sprintf("10.1.1.%d:1", number), directory.TargetReady)).Err)
+	}
+	c.run(time.Second)
+	rounds := (len(leader.updates) - before) / nodes
+	assert.Positive(t, rounds)
+	assert.Less(t, rounds, 15, "40 changes travel in fewer rounds")
+}
--- a/internal/registry/inputs.go
+++ b/internal/registry/inputs.go
@@ -22,9 +22,7 @@
 	if p.core == nil {
 		return Output{}
 	}
-	for id := range p.beats.takeHeard() {
-		p.core.Heard(now, id)
-	}
+	p.core.NoteHeard(now, p.beats.TakeHeard())
 	if !p.core.KnowsLeader() {
 		p.metrics.leaderless.Add(tickInterval.Seconds())
 	}
@@ -52,6 +50,7 @@
 		return Output{}
 	}
 	p.nodes[i.connection] = i.queue
+	p.spread.Add(uint64(i.connection), i.subscribe.Zone, i.subscribe.Beats)
 	return p.core.Open(now, i.connection, i.subscribe)
 }
 
--- a/internal/registry/liveness.go
+++ b/internal/registry/liveness.go
@@ -25,9 +25,10 @@
 	// silentNodesNeeded is the number of nodes that must have seen it: what
 	// only one node sees may be its own fault.
 	silentNodesNeeded = 2
-	// lostShareDivisor bounds the targets held for lost to one part in so many
-	// of all: when more seem lost, the observers are more likely at fault.
-	lostShareDivisor = 2
+	// judgedShareDivisor bounds the targets suspected or held for lost to one
+	// part in so many of all: when more seem silent, the observers are more
+	// likely at fault.
+	judgedShareDivisor = 2
 	// questionTime is how long members are asked whether a target answers
 	// before it can be held for lost.
 	questionTime = 250 * time.Millisecond
@@ -104,8 +105,15 @@
 	if !known {
 		return
 	}
-	c.liveness.sighting(target.Token).heardAt = now
-	c.liveness.unsentHeard[target.Token] = true
+	c.NoteHeard(now, []directory.Token{target.Token})
+}
+
+// NoteHeard notes heartbeats of targets by their tokens.
+func (c *Core) NoteHeard(now kernel.Instant, tokens []directory.Token) {
+	for _, token := range tokens {
+		c.liveness.sighting(token).heardAt = now
+		c.liveness.unsentHeard[token] = true
+	}
 }
 
 // Observe notes what a subscribed node has seen of targets.
@@ -113,6 +121,7 @@
 	for _, token := range evidence.Answering {
 		c.liveness.unsentEvidence[token] = true
 	}
+	c.NoteHeard(now, evidence.Heard)
 	if node, connected := c.nodes[connection]; connected {
 		node.silent = evidence.Silent
 		node.silentAt = now
@@ -207,9 +216,13 @@
 	slices.Sort(next.Suspects)
 	slices.Sort(next.Questioned)
 	slices.Sort(next.Lost)
-	if len(next.Lost) > max(1, c.state.TargetCount()/lostShareDivisor) {
+	limit := max(1, c.state.TargetCount()/judgedShareDivisor)
+	if len(next.Lost) > limit {
 		next.Lost = c.liveness.verdicts.Lost
 	}
+	if len(next.Suspects) > limit {
+		next.Suspects = nil
+	}
 	c.spreadVerdicts(next)
 }
 
--- a/internal/registry/messages.go
+++ b/internal/registry/messages.go
@@ -117,6 +117,8 @@
 	Revision uint64
 	// Waited is how long the node has been without any state.
 	Waited time.Duration
+	// Beats is the address at which the node takes heartbeats of targets, or "".
+	Beats string
 }
 
 // Frame returns the frame of a subscription.
@@ -126,6 +128,7 @@
 	encoder.String(s.Zone)
 	encoder.Uint64(s.Revision)
 	encoder.Uint64(uint64(s.Waited))
+	encoder.String(s.Beats)
 	return wire.Frame{Kind: wire.FrameSubscribe, Payload: encoder.Buffer}
 }
 
@@ -134,6 +137,7 @@
 	decoder := wire.NewDecoder(payload)
 	subscribe := Subscribe{Node: decoder.String(), Zone: decoder.String(), Revision: decoder.Uint64()}
 	subscribe.Waited = time.Duration(decoder.Uint64())
+	subscribe.Beats = decoder.String()
 	return subscribe, decoder.Err("registry.decode_subscribe")
 }
 
@@ -197,10 +201,12 @@
 type Evidence struct {
 	Answering []directory.Token
 	Silent    []SilentTarget
+	// Heard are the targets whose heartbeats came to the node.
+	Heard []directory.Token
 }
 
 // IsEmpty reports whether there is nothing to tell.
-func (e Evidence) IsEmpty() bool { return len(e.Answering) == 0 && len(e.Silent) == 0 }
+func (e Evidence) IsEmpty() bool { return len(e.Answering)+len(e.Silent)+len(e.Heard) == 0 }
 
 func (e Evidence) encode(encoder *wire.Encoder) {
 	encodeTokens(encoder, e.Answering)
@@ -210,6 +216,7 @@
 		encoder.Uint32(silent.Weight)
 		encoder.Uint32(silent.Nodes)
 	}
+	encodeTokens(encoder, e.Heard)
 }
 
 func decodeEvidence(decoder *wire.Decoder) Evidence {
@@ -218,6 +225,7 @@
 		silent := SilentTarget{Token: directory.Token(decoder.Uint32()), Weight: decoder.Uint32(), Nodes: decoder.Uint32()}
 		evidence.Silent = append(evidence.Silent, silent)
 	}
+	evidence.Heard = decodeTokens(decoder)
 	return evidence
 }
 
--- a/internal/registry/nodes.go
+++ b/internal/registry/nodes.go
@@ -14,6 +14,10 @@
 // AliveInterval is the time between two signs of life to a node.
 const AliveInterval = 400 * time.Millisecond
 
+// updatePause is the time, for each subscribed node, between two rounds of
+// updates: it bounds the frames that a member sends in a second.
+const updatePause = 2 * time.Millisecond
+
 // firstStateWait is how long a node without state waits for this member to be
 // current before it gets what the member has.
 const firstStateWait = 5 * time.Second
@@ -36,7 +40,8 @@
 func (c *Core) Open(now kernel.Instant, connection ConnectionID, subscribe Subscribe) Output {
 	c.nodes[connection] = &subscription{name: subscribe.Node, revision: subscribe.Revision, waitsSince: now.Add(-subscribe.Waited)}
 	c.log(eventlog.NodeSubscribed, "node", subscribe.Node, "zone", subscribe.Zone, "revision", subscribe.Revision)
-	c.tickNodes(now)
+	c.update(now, connection, map[uint64][]byte{})
+	c.tellAlive(now, connection)
 	return c.take()
 }
 
@@ -46,8 +51,13 @@
 }
 
 // spread sends what has changed to all subscribed nodes. Nodes that are at the
-// same revision get the same bytes.
+// same revision get the same bytes. The more nodes there are, the more changes
+// travel together.
 func (c *Core) spread(now kernel.Instant) {
+	if now.Before(c.nextSpread) {
+		return
+	}
+	c.nextSpread = now.Add(time.Duration(len(c.nodes)) * updatePause)
 	payloads := map[uint64][]byte{}
 	for _, connection := range c.orderedNodes() {
 		c.update(now, connection, payloads)
@@ -86,23 +96,29 @@
 // tickNodes sends signs of life, at once when what they say has changed.
 func (c *Core) tickNodes(now kernel.Instant) {
 	c.spread(now)
-	current := c.IsCurrent(now)
 	for _, connection := range c.orderedNodes() {
-		node := c.nodes[connection]
-		judged := c.liveness.verdicts
-		changed := node.current != current || !slices.Equal(node.verdicts.Suspects, judged.Suspects) ||
-			!slices.Equal(node.verdicts.Lost, judged.Lost)
-		if now.Before(node.nextAlive) && !changed {
-			continue
-		}
-		node.nextAlive = now.Add(AliveInterval)
-		node.current = current
-		node.verdicts = judged
-		alive := Alive{
-			Current:  current && c.state.Revision() >= node.revision,
-			Suspects: judged.Suspects,
-			Lost:     judged.Lost,
-		}
-		c.sendNode(connection, alive.Frame())
+		c.tellAlive(now, connection)
+	}
+}
+
+// tellAlive sends a node a sign of life when one is due, or when it says that
+// this member is current or not, or that a target is held for lost. Targets that
+// are only suspected can wait: their list may be long and change often.
+func (c *Core) tellAlive(now kernel.Instant, connection ConnectionID) {
+	node := c.nodes[connection]
+	current := c.IsCurrent(now)
+	judged := c.liveness.verdicts
+	changed := node.current != current || !slices.Equal(node.verdicts.Lost, judged.Lost)
+	if now.Before(node.nextAlive) && !changed {
+		return
+	}
+	node.nextAlive = now.Add(AliveInterval)
+	node.current = current
+	node.verdicts = judged
+	alive := Alive{
+		Current:  current && c.state.Revision() >= node.revision,
+		Suspects: judged.Suspects,
+		Lost:     judged.Lost,
 	}
+	c.sendNode(connection, alive.Frame())
 }
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -5,9 +5,12 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/heartbeat"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/peerlink"
 	"github.com/beamdoor/beamdoor/internal/ring"
@@ -21,6 +24,9 @@
 	inputBatch    = 64
 	nodeCapacity  = 256
 	tickInterval  = 25 * time.Millisecond
+	// busyAfter is how long after the last tick a process is busy: its ticker
+	// has not had a turn.
+	busyAfter = 3 * tickInterval
 	// reopenPause is the time between two attempts to use a failed disk.
 	reopenPause = 500 * time.Millisecond
 )
@@ -30,6 +36,8 @@
 	Name       string
 	DataFolder string
 	Core       CoreSettings
+	// Spread changes how heartbeats are passed on to nodes.
+	Spread []heartbeat.SpreadOption
 }
 
 // Process runs a member: one goroutine owns the core, others have one duty
@@ -47,7 +55,13 @@
 	waiting  map[Ticket]chan Outcome
 	nodes    map[ConnectionID]*ring.Ring[wire.Frame]
 	metrics  *metrics
-	beats    *beatCache
+	beats    *heartbeat.Cache
+	spread   *heartbeat.Spread
+	// beatsAt is the revision that the cache of heartbeats has followed.
+	beatsAt uint64
+
+	// tickedAt is when the ticker last ran, in nanoseconds since the start.
+	tickedAt atomic.Int64
 
 	mutex    sync.Mutex
 	nextConn ConnectionID
@@ -66,7 +80,8 @@
 		waiting:  map[Ticket]chan Outcome{},
 		nodes:    map[ConnectionID]*ring.Ring[wire.Frame]{},
 		metrics:  newMetrics(),
-		beats:    newBeatCache(),
+		beats:    heartbeat.NewCache(),
+		spread:   heartbeat.NewSpread(settings.Spread...),
 		stopped:  make(chan struct{}),
 	}
 	process.links = peerlink.New(process.noteLink)
@@ -115,6 +130,12 @@
 	}()
 }
 
+// IsBusy reports whether this process has so little time that its own ticks come
+// late. Callers should wait or go to another member.
+func (p *Process) IsBusy() bool {
+	return time.Since(p.started)-time.Duration(p.tickedAt.Load()) > busyAfter
+}
+
 // runTicker feeds the passing of time to the core. It begins at a random point
 // of the interval: members that start together would otherwise hold elections
 // at the same instants, and split the vote.
@@ -125,6 +146,7 @@
 	for {
 		select {
 		case <-ticker.C:
+			p.tickedAt.Store(int64(time.Since(p.started)))
 			p.inputs.TryPush(tickInput{})
 		case <-p.stopped:
 			return
@@ -159,8 +181,21 @@
 		p.dispatch(p.core.EndBatch(p.now()))
 	}
 	if p.core != nil {
-		p.beats.follow(p.core.State())
+		p.followBeats(p.core.State())
+	}
+}
+
+// followBeats takes the targets that changed over into the cache of heartbeats.
+func (p *Process) followBeats(state *directory.State) {
+	if state.Revision() == p.beatsAt {
+		return
+	}
+	if state.Revision() < p.beatsAt {
+		p.beats.Reset()
+		p.beatsAt = 0
 	}
+	p.beats.Follow(state.ChangedTargets(p.beatsAt))
+	p.beatsAt = state.Revision()
 }
 
 // reopen reads the data folder when there is no core: at the start, after a
@@ -287,6 +322,7 @@
 	if queue, connected := p.nodes[connection]; connected {
 		queue.Close()
 		delete(p.nodes, connection)
+		p.spread.Remove(uint64(connection))
 	}
 	if p.core != nil {
 		p.core.Close(connection)
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -13,6 +13,18 @@
 // resendInterval is the time after which a request is handed on once more.
 const resendInterval = 250 * time.Millisecond
 
+const (
+	// handedLimit is the number of requests that a member has with the leader at
+	// a time. The others wait here, where they cost the leader nothing.
+	handedLimit = 64
+	// openLimit is the number of requests that wait at a member; more are refused
+	// at once, so that their callers go elsewhere.
+	openLimit = 256
+)
+
+// errOverloaded refuses a request that found too many others waiting.
+var errOverloaded = steperror.New("registry.request", "", "too many requests are waiting")
+
 // Submit hands a command to the group. The outcome follows under the ticket
 // that is returned; it is delivered once this member has applied the command.
 func (c *Core) Submit(now kernel.Instant, command directory.Command) (Ticket, Output) {
@@ -41,6 +53,10 @@
 		same.waiters = append(same.waiters, waiting)
 		return
 	}
+	if len(c.requests) >= openLimit && !opened.forwarded {
+		c.output.Outcomes = append(c.output.Outcomes, Outcome{Ticket: waiting.ticket, Err: errOverloaded})
+		return
+	}
 	c.ticket++
 	opened.ticket = c.ticket
 	opened.openedAt = now
@@ -67,9 +83,10 @@
 		return
 	}
 	leader := c.replica.Node.Leader()
-	if leader == raft.NoMember || open.forwarded {
+	if leader == raft.NoMember || open.forwarded || c.handed >= handedLimit {
 		return
 	}
+	c.handed++
 	open.sentTerm = c.replica.Node.Term()
 	open.sentAt = now
 	message := forward{Origin: c.settings.Address, Ticket: open.ticket, Command: open.command}
@@ -134,6 +151,9 @@
 	if !waiting {
 		return
 	}
+	if !open.answered {
+		c.answered = append(c.answered, ticket)
+	}
 	open.answered = true
 	open.result = result
 }
@@ -144,12 +164,18 @@
 		return
 	}
 	c.confirmReads(now)
-	for _, open := range c.orderedRequests() {
-		if !open.answered || c.replica.Applied < open.result.Revision {
-			continue
+	waiting := c.answered[:0]
+	for _, ticket := range c.answered {
+		open, exists := c.requests[ticket]
+		switch {
+		case !exists:
+		case c.replica.Applied < open.result.Revision:
+			waiting = append(waiting, ticket)
+		default:
+			c.finish(open, nil)
 		}
-		c.finish(open, nil)
 	}
+	c.answered = waiting
 }
 
 // finish ends a request and tells its waiters. Members that forwarded it hear
@@ -179,6 +205,7 @@
 // tickRequests hands requests on again after a change of leader, and gives up
 // those that waited too long. Commands may be repeated without harm.
 func (c *Core) tickRequests(now kernel.Instant) {
+	c.countHanded(now)
 	for _, open := range c.orderedRequests() {
 		if !now.Before(open.deadline) {
 			c.log(eventlog.RequestGivenUp, "ticket", open.ticket, "command", len(open.command) > 0)
@@ -188,9 +215,28 @@
 		if open.answered || c.replica.Node == nil {
 			continue
 		}
-		if open.sentTerm != c.replica.Node.Term() || now.Sub(open.sentAt) >= resendInterval {
+		if !c.isHanded(now, open) {
 			c.handOn(now, open)
 		}
 	}
 	c.flush(now)
 }
+
+// isHanded reports whether a request was handed on in this term and not too
+// long ago.
+func (c *Core) isHanded(now kernel.Instant, open *request) bool {
+	return open.sentTerm == c.replica.Node.Term() && now.Sub(open.sentAt) < resendInterval
+}
+
+// countHanded counts the requests that the leader has.
+func (c *Core) countHanded(now kernel.Instant) {
+	c.handed = 0
+	if c.replica.Node == nil {
+		return
+	}
+	for _, open := range c.requests {
+		if !open.answered && c.isHanded(now, open) {
+			c.handed++
+		}
+	}
+}
