A fault soak of the real programs, by the simulator's rules

Disk faults and the address behind a proxy are a layer that only programs built with the tag soak have. The stand-in's check of the version read back took a version that was sent without an answer for a breach; it now holds it against what was sent and what was acknowledged. A test used addresses of its own outside its fleet's block and met a soak that ran there; it uses the fleet's.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 # beamdoor: build, test and run. See README.md.
 
-.PHONY: build demo demo-platform test check smoke sim bench scale faults fuzz
+.PHONY: build demo demo-platform test check smoke sim bench scale faults fuzz soak soak-program soak-regressions
 
 SEEDS ?= 1-50
+MINUTES ?= 3
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,6 +30,7 @@
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
 	  if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	go vet ./...
+	go vet -tags soak ./internal/faultlayer
 	go tool staticcheck ./...
 	bash scripts/check-platform.sh
 
@@ -54,6 +56,18 @@
 faults: build
 	bash scripts/faults.sh
 
+# The program with the layer of faults that only the soak uses.
+soak-program: build
+	go build -tags soak -o bin/beamdoor-node-soak ./cmd/beamdoor-node
+
+# Random faults on real processes, with a fresh seed; SEED=N plays one again.
+soak: soak-program
+	bin/beamdoor-lab soak --minutes $(MINUTES) --seed $(or $(SEED),0) --report run/soak
+
+# All seeds that ever failed.
+soak-regressions: soak-program
+	bash scripts/soak-regressions.sh
+
 # Each fuzz target for a while.
 fuzz:
 	@for target in $$(grep -rlE '^func Fuzz' --include=*_test.go internal platform); do \
--- a/cmd/beamdoor-fleet/main.go
+++ b/cmd/beamdoor-fleet/main.go
@@ -58,10 +58,10 @@
 	out := cmd.OutOrStdout()
 	demo := &standin.Demo{Fleet: fleet, Out: out, Quick: quick}
 	err := demo.Run()
-	report := fleet.Oracle().Report()
+	report := fleet.Report()
 	fmt.Fprintf(out, "served %d (late %d), failed %d, resets %d, slowest %v; logs in %s\n",
 		report.Served, report.Late, report.Failed, report.Resets, report.Slowest, settings.Folder)
-	for reason, count := range report.Errors {
+	for reason, count := range report.Reasons {
 		fmt.Fprintf(out, "  failed: %d: %s\n", count, reason)
 	}
 	for _, breach := range report.Breaches {
--- a/cmd/beamdoor-lab/main.go
+++ b/cmd/beamdoor-lab/main.go
@@ -7,11 +7,13 @@
 	"os"
 
 	"github.com/beamdoor/beamdoor/internal/lab/labcli"
+	"github.com/beamdoor/beamdoor/platform/standin"
 )
 
 func main() {
-	err := labcli.NewRoot().Execute()
-	if err != nil {
+	root := labcli.NewRoot()
+	root.AddCommand(standin.NewSoakCommand())
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "beamdoor-lab:", err)
 		os.Exit(1)
 	}
--- a/internal/lab/fleetsim/caller.go
+++ b/internal/lab/fleetsim/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
 	"github.com/beamdoor/beamdoor/internal/registry"
 	"github.com/beamdoor/beamdoor/internal/steer"
 )
@@ -31,9 +32,10 @@
 	documents = netip.MustParseAddrPort("198.18.0.2:443")
 )
 
-// allowed reports whether any configuration leads an address to a service.
-func allowed(virtual netip.AddrPort, service string) bool {
-	return virtual == boards && service == "boards" || virtual == documents && service == "documents"
+// allow tells the oracle where all configurations lead.
+func allow(oracle *flowrules.Oracle) {
+	oracle.Allow(boards.String(), "boards")
+	oracle.Allow(documents.String(), "documents")
 }
 
 func configuration(version uint64) directory.Configuration {
@@ -112,7 +114,7 @@
 	ip := netip.AddrFrom4([4]byte{100, 64, byte(c.number >> 8), byte(c.number)})
 	f := &flow{caller: c, key: steer.FlowKey{Caller: netip.AddrPortFrom(ip, 1000+c.port), Virtual: virtual}}
 	c.flow = f
-	w.oracle.asked++
+	w.oracle.Ask(false)
 	for copies, delay := range []time.Duration{0, firstCopy, secondCopy} {
 		w.after(delay, func() {
 			if !f.open && !f.ended {
@@ -181,7 +183,7 @@
 	f.waiting = true
 	f.sentAt = w.now
 	if f.sequence > 1 {
-		w.oracle.asked++
+		w.oracle.Ask(false)
 	}
 	f.resend(f.sequence, resendFirst)
 	sequence := f.sequence
@@ -209,7 +211,7 @@
 	w := f.caller.world
 	f.waiting = false
 	f.acked++
-	w.oracle.served++
+	w.oracle.Served(w.now.Sub(f.sentAt))
 	f.send(steer.Packet{})
 	if f.caller.isFresh() {
 		f.close()
@@ -230,8 +232,11 @@
 		return
 	}
 	w := f.caller.world
-	if f.open && f.target.lives && w.undisturbed(f.target.id, from.name) {
-		w.oracle.broke("FLOW", "%s reset a flow of %s, which lives", from.name, f.target.id)
+	if f.open {
+		w.oracle.Reset(flowrules.FlowReset{
+			Caller: f.key.Caller.String(), Target: f.target.id, By: from.name,
+			Lives: f.target.lives, Calm: w.undisturbed(f.target.id, from.name),
+		})
 	}
 	f.fail("reset")
 }
@@ -242,16 +247,18 @@
 		return
 	}
 	w := f.caller.world
-	if f.open && f.target.lives && f.target.flows[f] && w.undisturbed(f.target.id) {
-		w.oracle.broke("FLOW", "a target that does not hold a flow of %s reset it", f.target.id)
+	if f.open {
+		w.oracle.Reset(flowrules.FlowReset{
+			Caller: f.key.Caller.String(), Target: f.target.id, By: "a target that does not hold it",
+			Lives: f.target.lives && f.target.flows[f], Calm: w.undisturbed(f.target.id),
+		})
 	}
 	f.fail("reset by target")
 }
 
 func (f *flow) fail(reason string) {
 	w := f.caller.world
-	w.oracle.failed++
-	w.oracle.count(reason)
+	w.oracle.Failed(reason)
 	f.ended = true
 	if f.caller.flow == f {
 		f.caller.flow = nil
--- a/internal/lab/fleetsim/edge.go
+++ b/internal/lab/fleetsim/edge.go
@@ -6,6 +6,7 @@
 	"github.com/beamdoor/beamdoor/internal/directory"
 	product "github.com/beamdoor/beamdoor/internal/edge"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
 	"github.com/beamdoor/beamdoor/internal/registry"
 	"github.com/beamdoor/beamdoor/internal/steer"
 	"github.com/beamdoor/beamdoor/internal/wire"
@@ -256,11 +257,9 @@
 		}
 	}
 	if !e.core.Update(e.world.now, update) {
-		e.world.oracle.broke("CONFIG", "%s got an update that does not fit", e.name)
-	}
-	if e.core.Version() < e.version {
-		e.world.oracle.broke("CONFIG", "%s went back from version %d to %d", e.name, e.version, e.core.Version())
+		e.world.oracle.Broke(flowrules.Config, "%s got an update that does not fit", e.name)
 	}
+	e.world.oracle.Obeys(flowrules.NodeVersion{Node: e.name, Before: e.version, Version: e.core.Version()})
 	e.version = e.core.Version()
 	e.ready = e.core.IsReady()
 }
--- a/internal/lab/fleetsim/member.go
+++ b/internal/lab/fleetsim/member.go
@@ -7,6 +7,7 @@
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/lab/disk"
+	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
 	"github.com/beamdoor/beamdoor/internal/registry"
 	"github.com/beamdoor/beamdoor/internal/wal"
 )
@@ -205,13 +206,10 @@
 	at      kernel.Instant
 }
 
-// inForce is how long an acknowledged version may take to be in force.
-const inForce = 3 * time.Second
-
 func (o *operator) settledVersion() uint64 {
 	highest := uint64(0)
 	for _, settled := range o.settled {
-		if o.world.now.Sub(settled.at) > inForce {
+		if o.world.now.Sub(settled.at) > flowrules.InForceBound {
 			highest = max(highest, settled.version)
 		}
 	}
--- a/internal/lab/fleetsim/target.go
+++ b/internal/lab/fleetsim/target.go
@@ -7,16 +7,15 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
 	"github.com/beamdoor/beamdoor/internal/steer"
 )
 
 const (
 	heartbeat = 1200 * time.Millisecond
 	workTime  = 20 * time.Millisecond
-	// drainBound is how long after the acknowledgement of a drain new flows may
-	// still come; drainTime is how long the target serves on.
-	drainBound = 3 * time.Second
-	drainTime  = 5 * time.Second
+	// drainTime is how long a target serves on after its drain was acknowledged.
+	drainTime = 5 * time.Second
 )
 
 // target is one incarnation of a back end.
@@ -172,13 +171,13 @@
 
 func (t *target) open(from *edge, p steer.Packet, f *flow, token directory.Token) {
 	w := t.world
-	if !allowed(p.Flow.Virtual, t.service) {
-		w.oracle.broke("ROUTE", "%s of %s took a flow to %s", t.id, t.service, p.Flow.Virtual)
+	taken := flowrules.TakenFlow{
+		Target: t.id, Service: t.service, Virtual: p.Flow.Virtual.String(), Through: from.name, Calm: w.calm(group, from.name),
 	}
-	late := t.acknowledgedAt != 0 && w.now.Sub(t.acknowledgedAt) > drainBound
-	if late && w.calm(group, from.name) {
-		w.oracle.broke("DRAIN", "%s took a flow through %s %v after its drain was acknowledged", t.id, from.name, w.now.Sub(t.acknowledgedAt))
+	if t.acknowledgedAt != 0 {
+		taken.DrainedFor = w.now.Sub(t.acknowledgedAt)
 	}
+	w.oracle.Took(taken)
 	t.flows[f] = true
 	w.after(callerTime, func() { f.opened(t, token) })
 }
--- a/internal/lab/fleetsim/world.go
+++ b/internal/lab/fleetsim/world.go
@@ -12,6 +12,7 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
 )
 
 // Zones are those in which all parts stand by turns.
@@ -23,9 +24,7 @@
 	crossZone = 1400 * time.Microsecond
 	// callerTime is the time one way to a caller.
 	callerTime = time.Millisecond
-	// contact is how long a part must have run undisturbed for the rules that
-	// are bounded in time.
-	contact = 4 * time.Second
+	contact    = flowrules.Contact
 )
 
 // Switches turn single mechanisms off or wrong, to show that the rules see it.
@@ -94,7 +93,7 @@
 	edges    []*edge
 	targets  []*target
 	callers  []*caller
-	oracle   *Oracle
+	oracle   *flowrules.Oracle
 	operator operator
 	// cuts are the parts that are cut off from all others, by name.
 	cuts map[string]bool
@@ -118,13 +117,14 @@
 		settings:    settings,
 		now:         kernel.Instant(time.Minute),
 		random:      rand.New(rand.NewPCG(settings.Seed, 77)),
-		oracle:      &Oracle{},
+		oracle:      flowrules.New(),
 		split:       map[string]bool{},
 		cuts:        map[string]bool{},
 		disturbedAt: map[string]kernel.Instant{},
 		plannedAt:   map[string]kernel.Instant{},
 	}
 	w.operator.world = w
+	allow(w.oracle)
 	return w
 }
 
@@ -205,7 +205,7 @@
 const settleTime = lureTime + 8*time.Second
 
 // Run plays the world and returns what the oracle saw.
-func (w *World) Run() Report {
+func (w *World) Run() flowrules.Report {
 	w.build()
 	start := w.now.Add(6 * time.Second)
 	w.runUntil(start)
@@ -223,7 +223,7 @@
 	w.settings.Faults = false
 	w.runUntil(end.Add(settleTime))
 	w.checkEnd()
-	return w.oracle.report()
+	return w.oracle.Report()
 }
 
 func (w *World) build() {
@@ -255,9 +255,9 @@
 		return
 	}
 	for _, e := range w.edges {
-		if e.up && e.ready && !e.leaving && w.calm(e.name) && e.core.Version() < w.operator.settledVersion() {
-			w.oracle.broke("CONFIG", "%s has version %d, %d was acknowledged 3 s ago", e.name, e.core.Version(), w.operator.settledVersion())
-		}
+		version := e.core.Version()
+		calm := e.up && e.ready && !e.leaving && w.calm(e.name)
+		w.oracle.Obeys(flowrules.NodeVersion{Node: e.name, Before: version, Version: version, Settled: w.operator.settledVersion(), Calm: calm})
 	}
 }
 
@@ -265,13 +265,10 @@
 func (w *World) checkEnd() {
 	for _, m := range w.members {
 		if !m.up || m.core.Raft() == nil {
-			w.oracle.broke("RECOVER", "%s has no place at the end", m.name)
+			w.oracle.Broke(flowrules.Recover, "%s has no place at the end", m.name)
 			continue
 		}
-		version := m.core.State().Configuration().Version
-		if version < w.operator.acknowledged {
-			w.oracle.broke("LOST", "%s has version %d at the end, %d was acknowledged", m.name, version, w.operator.acknowledged)
-		}
+		w.oracle.ReadBack(m.name, m.core.State().Configuration().Version, w.operator.acknowledged)
 	}
 	var highest directory.Configuration
 	for _, m := range w.members {
@@ -281,7 +278,7 @@
 	}
 	for _, e := range w.edges {
 		if !e.ready || e.core.Version() != highest.Version {
-			w.oracle.broke("RECOVER", "%s has version %d at the end, members have %d", e.name, e.core.Version(), highest.Version)
+			w.oracle.Broke(flowrules.Recover, "%s has version %d at the end, members have %d", e.name, e.core.Version(), highest.Version)
 		}
 	}
 }
--- a/internal/lab/fleetsim/world_test.go
+++ b/internal/lab/fleetsim/world_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
 )
 
 // seedCount is the number of seeds in CI; more by the environment variable.
@@ -60,12 +62,12 @@
 func TestTheRulesSeeWhatIsWrong(t *testing.T) {
 	cases := map[string]struct {
 		switches Switches
-		rule     string
+		rule     flowrules.Rule
 	}{
-		"a node alone holds targets for lost": {Switches{HastyLoss: true}, "FLOW"},
-		"nodes go between two members":        {Switches{ForgetFaults: true}, "CONFIG"},
-		"a drain is acknowledged early":       {Switches{EarlyDrain: true}, "DRAIN"},
-		"nodes ignore that targets drain":     {Switches{KeepOld: true}, "DRAIN"},
+		"a node alone holds targets for lost": {Switches{HastyLoss: true}, flowrules.Flow},
+		"nodes go between two members":        {Switches{ForgetFaults: true}, flowrules.Config},
+		"a drain is acknowledged early":       {Switches{EarlyDrain: true}, flowrules.Drain},
+		"nodes ignore that targets drain":     {Switches{KeepOld: true}, flowrules.Drain},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -74,12 +76,12 @@
 				wrong := settings(seed)
 				wrong.Switches = test.switches
 				for _, breach := range New(wrong).Run().Breaches {
-					if len(breach) > len(test.rule) && breach[:len(test.rule)] == test.rule {
+					if breach.Rule == test.rule {
 						return
 					}
 				}
 			}
-			assert.Fail(t, "no seed of 40 broke "+test.rule)
+			assert.Fail(t, "no seed of 40 broke "+string(test.rule))
 		})
 	}
 }
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/faultlayer"
 	"github.com/beamdoor/beamdoor/internal/heartbeat"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/peerlink"
@@ -102,7 +103,7 @@
 
 // Run serves until the context ends.
 func (p *Process) Run(ctx context.Context) error {
-	listener, err := peerlink.Listen(p.settings.Core.Address)
+	listener, err := peerlink.Listen(faultlayer.ListenAddress(p.settings.Core.Address))
 	if err != nil {
 		return err
 	}
--- a/internal/wal/filesystem.go
+++ b/internal/wal/filesystem.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sort"
 
+	"github.com/beamdoor/beamdoor/internal/faultlayer"
 	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
@@ -73,16 +74,46 @@
 	return errors.Join(handle.Sync(), handle.Close())
 }
 
+// folderFile is an open file of a folder.
+type folderFile struct{ *os.File }
+
+func openFile(path string, flags int) (File, error) {
+	if err := faultlayer.BeforeWrite(); err != nil {
+		return nil, err
+	}
+	file, err := os.OpenFile(path, flags|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return folderFile{file}, nil
+}
+
+// Write implements File.
+func (f folderFile) Write(data []byte) (int, error) {
+	if err := faultlayer.BeforeWrite(); err != nil {
+		return 0, err
+	}
+	return f.File.Write(data)
+}
+
+// Sync implements File.
+func (f folderFile) Sync() error {
+	if err := faultlayer.BeforeWrite(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
 func (f *Folder) join(name string) string { return filepath.Join(f.path, name) }
 
 // Create implements FileSystem.
 func (f *Folder) Create(name string) (File, error) {
-	return os.OpenFile(f.join(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+	return openFile(f.join(name), os.O_CREATE|os.O_TRUNC)
 }
 
 // OpenAppend implements FileSystem.
 func (f *Folder) OpenAppend(name string) (File, error) {
-	return os.OpenFile(f.join(name), os.O_WRONLY|os.O_APPEND, fileMode)
+	return openFile(f.join(name), 0)
 }
 
 // ReadFile implements FileSystem.
