--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -9,7 +9,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
@@ -26,57 +25,6 @@
 // ConnectionID identifies the connection of a subscribed node.
 type ConnectionID uint64
 
-// CoreSettings are the fixed settings of a member's core.
-type CoreSettings struct {
-	Raft raft.Settings
-	// Address is where other members and nodes reach this member.
-	Address string
-	Zone    string
-	// Seeds are addresses of members, some of which may be gone.
-	Seeds []string
-	// Bootstrap is set at the first start of the whole group.
-	Bootstrap bool
-	// Voters is the number of voters to keep.
-	Voters int
-	// JoinInterval is the time between two requests for a place.
-	JoinInterval time.Duration
-	// ReplaceAfter is the silence after which a voter gives way to a learner.
-	ReplaceAfter time.Duration
-	// RequestTimeout is how long a request waits for the group.
-	RequestTimeout time.Duration
-	// CurrentFor is how long a member counts as current after it heard from
-	// the leader.
-	CurrentFor time.Duration
-	// SuspectAfter is the silence after which a target is suspected.
-	SuspectAfter time.Duration
-	// LostAfter is the shortest silence after which a target can be held for
-	// lost, when callers wait for its answers.
-	LostAfter time.Duration
-	// SnapshotEntries is the length of the log at which it is compacted.
-	SnapshotEntries int
-}
-
-// DefaultCoreSettings returns the settings of a member in production.
-func DefaultCoreSettings() CoreSettings {
-	return CoreSettings{
-		Raft: raft.Settings{
-			ElectionTimeout: 250 * time.Millisecond,
-			Heartbeat:       80 * time.Millisecond,
-			MaxAppend:       64,
-			ChunkSize:       128 << 10,
-			UnboundRestart:  true,
-		},
-		Voters:          3,
-		JoinInterval:    250 * time.Millisecond,
-		ReplaceAfter:    2500 * time.Millisecond,
-		RequestTimeout:  900 * time.Millisecond,
-		CurrentFor:      800 * time.Millisecond,
-		SuspectAfter:    3200 * time.Millisecond,
-		LostAfter:       600 * time.Millisecond,
-		SnapshotEntries: 1024,
-	}
-}
-
 // AddressedFrame is a frame for another member.
 type AddressedFrame struct {
 	To    string
@@ -152,8 +100,6 @@
 	term   uint64
 }
 
-var _ replica.Host = (*Core)(nil)
-
 // Core is the deterministic part of a member. One goroutine owns it.
 type Core struct {
 	settings CoreSettings
@@ -380,94 +326,6 @@
 	c.deliver(now)
 }
 
-// Send implements replica.Host.
-func (c *Core) Send(message raft.Message) {
-	c.send(c.address(message.To), wire.Frame{Kind: wire.FrameRaft, Payload: raft.EncodeMessage(message)})
-}
-
-// Stopped implements replica.Host.
-func (c *Core) Stopped(err error) {
-	c.log(eventlog.DiskFailed, "err", err)
-	c.failRequests(err)
-}
-
-// Restore implements replica.Host.
-func (c *Core) Restore(snapshot raft.Snapshot) error {
-	state, err := directory.Decode(snapshot.Data)
-	if err != nil {
-		return err
-	}
-	c.state = state
-	c.log(eventlog.SnapshotInstalled, "index", snapshot.Index, "revision", state.Revision())
-	return nil
-}
-
-// Apply implements replica.Host.
-func (c *Core) Apply(now kernel.Instant, entry raft.Entry) error {
-	waiting, mine := c.proposals[entry.Index]
-	delete(c.proposals, entry.Index)
-	if entry.Kind != raft.EntryCommand {
-		return nil
-	}
-	command, err := directory.DecodeCommand(entry.Data)
-	if err != nil {
-		return err
-	}
-	before := c.state.Revision()
-	result := c.state.Apply(entry.Index, command)
-	c.logApplied(command, result, before, entry.Term != c.replica.Node.Term())
-	if command.Kind == directory.CommandPutTarget && c.IsLeader() && entry.Term == c.replica.Node.Term() {
-		c.Heard(now, command.Target.ID)
-	}
-	if mine && waiting.term == entry.Term {
-		c.answer(waiting.ticket, result)
-	}
-	return nil
-}
-
-// logApplied writes one line for each change of what the group believes. Of
-// entries of earlier terms, most of which are a replay, only some are written:
-// thousands of lines would hold up a member that has just come back.
-func (c *Core) logApplied(command directory.Command, result directory.Result, before uint64, replayed bool) {
-	if c.state.Revision() == before {
-		return
-	}
-	first := len(c.output.Events)
-	defer func() {
-		for position := first; position < len(c.output.Events); position++ {
-			c.output.Events[position].Sampled = replayed
-		}
-	}()
-	switch command.Kind {
-	case directory.CommandPublish:
-		c.log(eventlog.VersionInForce, "version", command.Edit.Version, "revision", result.Revision,
-			"routes", len(c.state.Configuration().Routes))
-	case directory.CommandPutTarget, directory.CommandEndTarget:
-		target, _ := c.state.Target(command.Target.ID)
-		c.log(eventlog.TargetStage, "target", target.ID, "token", target.Token, "service", target.Service,
-			"address", target.Address, "state", target.State, "revision", result.Revision)
-	case directory.CommandAddMember, directory.CommandRemoveMember:
-		c.log(eventlog.MembersChanged, "kind", command.Kind, "member", command.Member.ID,
-			"address", command.Member.Address, "revision", result.Revision)
-	}
-}
-
-// RoleChanged implements replica.Host.
-func (c *Core) RoleChanged(now kernel.Instant, _ raft.Role) {
-	c.proposals = map[uint64]proposal{}
-	c.members.noticed = nil
-	c.liveness.reset(now)
-	c.log(eventlog.RoleChanged, "role", c.replica.Role, "term", c.replica.Term, "leader", c.replica.Node.Leader())
-}
-
-// Encode implements replica.Host.
-func (c *Core) Encode() ([]byte, error) { return c.state.Encode(), nil }
-
-// Compacted implements replica.Host.
-func (c *Core) Compacted(snapshot raft.Snapshot) {
-	c.log(eventlog.SnapshotSaved, "index", snapshot.Index, "bytes", len(snapshot.Data))
-}
-
 func (c *Core) orderedRequests() []*request {
 	list := make([]*request, 0, len(c.requests))
 	for _, ticket := range slices.Sorted(maps.Keys(c.requests)) {
--- /dev/null
+++ b/internal/registry/host.go
@@ -0,0 +1,100 @@
+package registry
+
+import (
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/raft"
+	"github.com/beamdoor/beamdoor/internal/replica"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+var _ replica.Host = (*Core)(nil)
+
+// Send implements replica.Host.
+func (c *Core) Send(message raft.Message) {
+	c.send(c.address(message.To), wire.Frame{Kind: wire.FrameRaft, Payload: raft.EncodeMessage(message)})
+}
+
+// Stopped implements replica.Host.
+func (c *Core) Stopped(err error) {
+	c.log(eventlog.DiskFailed, "err", err)
+	c.failRequests(err)
+}
+
+// Restore implements replica.Host.
+func (c *Core) Restore(snapshot raft.Snapshot) error {
+	state, err := directory.Decode(snapshot.Data)
+	if err != nil {
+		return err
+	}
+	c.state = state
+	c.log(eventlog.SnapshotInstalled, "index", snapshot.Index, "revision", state.Revision())
+	return nil
+}
+
+// Apply implements replica.Host.
+func (c *Core) Apply(now kernel.Instant, entry raft.Entry) error {
+	waiting, mine := c.proposals[entry.Index]
+	delete(c.proposals, entry.Index)
+	if entry.Kind != raft.EntryCommand {
+		return nil
+	}
+	command, err := directory.DecodeCommand(entry.Data)
+	if err != nil {
+		return err
+	}
+	before := c.state.Revision()
+	result := c.state.Apply(entry.Index, command)
+	c.logApplied(command, result, before, entry.Term != c.replica.Node.Term())
+	if command.Kind == directory.CommandPutTarget && c.IsLeader() && entry.Term == c.replica.Node.Term() {
+		c.Heard(now, command.Target.ID)
+	}
+	if mine && waiting.term == entry.Term {
+		c.answer(waiting.ticket, result)
+	}
+	return nil
+}
+
+// logApplied writes one line for each change of what the group believes. Of
+// entries of earlier terms, most of which are a replay, only some are written:
+// thousands of lines would hold up a member that has just come back.
+func (c *Core) logApplied(command directory.Command, result directory.Result, before uint64, replayed bool) {
+	if c.state.Revision() == before {
+		return
+	}
+	first := len(c.output.Events)
+	defer func() {
+		for position := first; position < len(c.output.Events); position++ {
+			c.output.Events[position].Sampled = replayed
+		}
+	}()
+	switch command.Kind {
+	case directory.CommandPublish:
+		c.log(eventlog.VersionInForce, "version", command.Edit.Version, "revision", result.Revision,
+			"routes", len(c.state.Configuration().Routes))
+	case directory.CommandPutTarget, directory.CommandEndTarget:
+		target, _ := c.state.Target(command.Target.ID)
+		c.log(eventlog.TargetStage, "target", target.ID, "token", target.Token, "service", target.Service,
+			"address", target.Address, "state", target.State, "revision", result.Revision)
+	case directory.CommandAddMember, directory.CommandRemoveMember:
+		c.log(eventlog.MembersChanged, "kind", command.Kind, "member", command.Member.ID,
+			"address", command.Member.Address, "revision", result.Revision)
+	}
+}
+
+// RoleChanged implements replica.Host.
+func (c *Core) RoleChanged(now kernel.Instant, _ raft.Role) {
+	c.proposals = map[uint64]proposal{}
+	c.members.noticed = nil
+	c.liveness.reset(now)
+	c.log(eventlog.RoleChanged, "role", c.replica.Role, "term", c.replica.Term, "leader", c.replica.Node.Leader())
+}
+
+// Encode implements replica.Host.
+func (c *Core) Encode() ([]byte, error) { return c.state.Encode(), nil }
+
+// Compacted implements replica.Host.
+func (c *Core) Compacted(snapshot raft.Snapshot) {
+	c.log(eventlog.SnapshotSaved, "index", snapshot.Index, "bytes", len(snapshot.Data))
+}
--- /dev/null
+++ b/internal/registry/settings.go
@@ -0,0 +1,58 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/beamdoor/beamdoor/internal/raft"
+)
+
+// CoreSettings are the fixed settings of a member's core.
+type CoreSettings struct {
+	Raft raft.Settings
+	// Address is where other members and nodes reach this member.
+	Address string
+	Zone    string
+	// Seeds are addresses of members, some of which may be gone.
+	Seeds []string
+	// Bootstrap is set at the first start of the whole group.
+	Bootstrap bool
+	// Voters is the number of voters to keep.
+	Voters int
+	// JoinInterval is the time between two requests for a place.
+	JoinInterval time.Duration
+	// ReplaceAfter is the silence after which a voter gives way to a learner.
+	ReplaceAfter time.Duration
+	// RequestTimeout is how long a request waits for the group.
+	RequestTimeout time.Duration
+	// CurrentFor is how long a member counts as current after it heard from
+	// the leader.
+	CurrentFor time.Duration
+	// SuspectAfter is the silence after which a target is suspected.
+	SuspectAfter time.Duration
+	// LostAfter is the shortest silence after which a target can be held for
+	// lost, when callers wait for its answers.
+	LostAfter time.Duration
+	// SnapshotEntries is the length of the log at which it is compacted.
+	SnapshotEntries int
+}
+
+// DefaultCoreSettings returns the settings of a member in production.
+func DefaultCoreSettings() CoreSettings {
+	return CoreSettings{
+		Raft: raft.Settings{
+			ElectionTimeout: 250 * time.Millisecond,
+			Heartbeat:       80 * time.Millisecond,
+			MaxAppend:       64,
+			ChunkSize:       128 << 10,
+			UnboundRestart:  true,
+		},
+		Voters:          3,
+		JoinInterval:    250 * time.Millisecond,
+		ReplaceAfter:    2500 * time.Millisecond,
+		RequestTimeout:  900 * time.Millisecond,
+		CurrentFor:      800 * time.Millisecond,
+		SuspectAfter:    3200 * time.Millisecond,
+		LostAfter:       600 * time.Millisecond,
+		SnapshotEntries: 1024,
+	}
+}
