--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -101,6 +101,9 @@
 	next  uint64
 	// acked is the newest SentAt that the member has echoed.
 	acked kernel.Instant
+	// resetAt is when next last went back: refusals of what was sent before then
+	// tell nothing new.
+	resetAt kernel.Instant
 	// lastSent is when the leader last sent anything.
 	lastSent       kernel.Instant
 	snapshotIndex  uint64
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -19,6 +19,10 @@
 	return peer
 }
 
+// inFlightAppends bounds what a member that has answered this leader may have under
+// way, in appends of the largest size.
+const inFlightAppends = 8
+
 // sendAppend sends the entries that the member lacks, a snapshot chunk if the
 // log no longer holds them, or an empty append as a heartbeat.
 func (n *Node) sendAppend(now kernel.Instant, id MemberID, heartbeat bool) {
@@ -30,6 +34,9 @@
 		return
 	}
 	last := min(n.log.lastIndex(), previous+uint64(n.settings.MaxAppend))
+	if peer.match > 0 {
+		last = min(last, max(previous, peer.match+inFlightAppends*uint64(n.settings.MaxAppend)))
+	}
 	entries := n.log.slice(peer.next, last)
 	if len(entries) == 0 && !heartbeat {
 		return
@@ -130,10 +137,7 @@
 		peer.acked = message.SentAt
 	}
 	if message.Reject {
-		if message.LogIndex+1 < peer.next && message.LogIndex >= peer.match {
-			peer.next = message.LogIndex + 1
-		}
-		n.sendAppend(now, message.From, true)
+		n.handleRefusal(now, message, peer)
 		return
 	}
 	if message.LogIndex > peer.match {
@@ -146,6 +150,20 @@
 	}
 }
 
+// handleRefusal goes back to where the member's log agrees and sends from there.
+// One lost append makes a member refuse all that were under way behind it; only
+// the first refusal counts.
+func (n *Node) handleRefusal(now kernel.Instant, message Message, peer *progress) {
+	if message.SentAt < peer.resetAt {
+		return
+	}
+	if message.LogIndex+1 < peer.next && message.LogIndex >= peer.match {
+		peer.next = message.LogIndex + 1
+		peer.resetAt = now
+	}
+	n.sendAppend(now, message.From, true)
+}
+
 // advanceCommit commits the newest entry of this term that a quorum of voters
 // has on disk (Raft paper, section 5.4.2).
 func (n *Node) advanceCommit(now kernel.Instant) {
