Calls wait while a member has no time for its own duties

By the logs the members went from term 8 to 15 with one leader, for 2 s, and their lines came up to 1 s late: 3,000 targets reconnected and called, and calls on open connections went on while new ones waited; ticks 75 ms late were not taken for busy, but a message takes several such turns.

--- a/internal/hosting/hosting.go
+++ b/internal/hosting/hosting.go
@@ -29,45 +29,19 @@
 	reloadInterval = time.Second
 )
 
-// acceptPause is the time between two looks at whether the process is busy.
-const acceptPause = 10 * time.Millisecond
-
-// ServeOption changes how calls are served.
-type ServeOption func(*pacedListener)
-
-// WithPace lets new connections wait while the process is busy: a process that
-// has no time for its own duties must not spend it on more callers.
-func WithPace(isBusy func() bool) ServeOption {
-	return func(l *pacedListener) { l.isBusy = isBusy }
-}
-
-// pacedListener accepts connections while the process is not busy.
-type pacedListener struct {
-	net.Listener
-	isBusy func() bool
-}
-
-// Accept implements net.Listener.
-func (l *pacedListener) Accept() (net.Conn, error) {
-	for l.isBusy != nil && l.isBusy() {
-		time.Sleep(acceptPause)
-	}
-	return l.Listener.Accept()
-}
-
 // Serve answers HTTP calls at an IPv4 address until the process ends. Callers
 // that stall are dropped.
 func Serve(address string, handler http.Handler, opts ...ServeOption) error {
+	var p pace
+	for _, opt := range opts {
+		opt(&p)
+	}
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return steperror.Wrap("hosting.listen", address, err)
 	}
-	paced := &pacedListener{Listener: listener}
-	for _, opt := range opts {
-		opt(paced)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	go func() { _ = server.Serve(paced) }()
+	server := &http.Server{Handler: p.handler(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	go func() { _ = server.Serve(p.listener(listener)) }()
 	return nil
 }
 
--- a/internal/hosting/hosting_test.go
+++ b/internal/hosting/hosting_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,3 +30,24 @@
 	assert.Equal(t, http.StatusNotFound, response.StatusCode)
 	assert.NoError(t, response.Body.Close())
 }
+
+// After all members of 300 machines were killed, calls on open connections took
+// the time that an election needed (own copy, no leader for 30 s).
+func TestCallsWaitWhileTheProcessIsBusyButNotForEver(t *testing.T) {
+	var busy atomic.Bool
+	p := pace{isBusy: busy.Load}
+	handler := p.handler(http.NotFoundHandler())
+	serve := func() time.Duration {
+		begin := time.Now()
+		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+		return time.Since(begin)
+	}
+	assert.Less(t, serve(), longestWait/2)
+	busy.Store(true)
+	time.AfterFunc(100*time.Millisecond, func() { busy.Store(false) })
+	took := serve()
+	assert.GreaterOrEqual(t, took, 100*time.Millisecond)
+	assert.Less(t, took, longestWait)
+	busy.Store(true)
+	assert.GreaterOrEqual(t, serve(), longestWait)
+}
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -25,9 +25,10 @@
 	inputBatch    = 64
 	nodeCapacity  = 256
 	tickInterval  = 25 * time.Millisecond
-	// busyAfter is how long after the last tick a process is busy: its ticker
-	// has not had a turn.
-	busyAfter = 3 * tickInterval
+	// busyAfter is how long after the last tick a process is busy: its ticker has
+	// not had a turn. A message takes several such turns on its way, so that twice
+	// as much would let elections fail.
+	busyAfter = tickInterval + 15*time.Millisecond
 	// reopenPause is the time between two attempts to use a failed disk.
 	reopenPause = 500 * time.Millisecond
 )
