SIGHUP is caught from the initialisation of the program on

The signal was caught only once the settings had been read, and until then ended the process. Change: a package without imports of the project catches it when it is initialised. The start of the language's runtime before that remains. Measured: the test is ended by the signal without the change and passes with it.

--- a/internal/hosting/hosting.go
+++ b/internal/hosting/hosting.go
@@ -8,14 +8,13 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/hangup"
 	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
@@ -93,16 +92,13 @@
 // WatchSettings calls reload after each SIGHUP, and now and then without one,
 // until the context ends.
 func WatchSettings(ctx context.Context, reload func()) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-hangup.Signals:
 		case <-ticker.C:
 		}
 		reload()
