--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -40,6 +40,8 @@
 	MembershipProposed ID = 1062
 	MembershipRefused  ID = 1063
 	MemberRemoved      ID = 1064
+	GroupSizeChanged   ID = 1065
+	QuorumMissing      ID = 1066
 	NodeSubscribed     ID = 1070
 	VersionAccepted    ID = 1080
 	VersionRefused     ID = 1081
@@ -117,6 +119,8 @@
 	{MembershipProposed, "membership_proposed", "change of the voters and learners proposed"},
 	{MembershipRefused, "membership_refused", "change of the members could not be proposed"},
 	{MemberRemoved, "member_removed", "the group has removed this member, which begins anew with an empty folder"},
+	{GroupSizeChanged, "group_size_changed", "the group became too small for the losses that it must bear, or large enough"},
+	{QuorumMissing, "quorum_missing", "this member has heard no leader for long: too few voters can be reached"},
 	{NodeSubscribed, "node_subscribed", "node asked for updates"},
 	{VersionAccepted, "version_accepted", "configuration is on the disks of a quorum"},
 	{VersionRefused, "version_refused", "configuration refused"},
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -126,6 +126,7 @@
 	nextSpread kernel.Instant
 	members    membershipKeeper
 	liveness   livenessTable
+	groupSize  groupSizeWatch
 
 	output   Output
 	restored raft.Restored
@@ -232,6 +233,7 @@
 		c.tickLiveness(now)
 		c.flush(now)
 	}
+	c.watchGroupSize(now)
 	c.tickRequests(now)
 	c.tickNodes(now)
 	return c.take()
--- a/internal/registry/core_test.go
+++ b/internal/registry/core_test.go
@@ -61,6 +61,10 @@
 	flights  []flight
 	order    int
 	cut      func(from, to string) bool
+	// wanted is the number of voters that members keep.
+	wanted int
+	// events counts the events of all members.
+	events map[eventlog.ID]int
 	// trace writes the events of all members to the test's log.
 	trace bool
 }
@@ -72,6 +76,8 @@
 		now:      kernel.Instant(time.Second),
 		machines: map[string]*machine{},
 		cut:      func(string, string) bool { return false },
+		wanted:   3,
+		events:   map[eventlog.ID]int{},
 	}
 	for number := range members {
 		c.seeds = append(c.seeds, address(number+1))
@@ -103,7 +109,7 @@
 	settings.Zone = "zone"
 	settings.Seeds = c.seeds
 	settings.Bootstrap = m.bootstrap
-	settings.Voters = 3
+	settings.Voters = c.wanted
 	settings.Raft.Identity = identity
 	settings.Raft.Random = c.random
 	m.core, err = NewCore(c.now, settings, log, restored)
@@ -136,6 +142,9 @@
 		delay := frameTime + time.Duration(c.random.Int64N(int64(frameTime)))
 		c.flights = append(c.flights, flight{at: c.now.Add(delay), order: c.order, from: m.address, to: message.To, frame: message.Frame})
 	}
+	for _, event := range output.Events {
+		c.events[event.Event]++
+	}
 	if c.trace {
 		for _, event := range output.Events {
 			if event.Event != eventlog.VersionInForce && event.Event != eventlog.RequestGivenUp {
--- /dev/null
+++ b/internal/registry/groupsize.go
@@ -0,0 +1,48 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+)
+
+// noQuorumInterval is the time between two events of a member that cannot
+// reach a quorum.
+const noQuorumInterval = 5 * time.Second
+
+// groupSizeWatch remembers what the log was last told about the group's size.
+type groupSizeWatch struct {
+	// small is set while the group has fewer voters than its tolerance needs.
+	small bool
+	// nextNoQuorum is when the next event about a missing quorum may be written.
+	nextNoQuorum kernel.Instant
+}
+
+// Voters returns the number of voters that this member knows of.
+func (c *Core) Voters() int {
+	if c.replica.Node == nil {
+		return 0
+	}
+	return len(c.replica.Node.Membership().Voters)
+}
+
+// IsTooSmall reports whether the group has fewer voters than it needs to bear
+// the losses that the settings state.
+func (c *Core) IsTooSmall() bool { return c.Voters() < c.settings.Voters }
+
+// watchGroupSize writes an event when the group becomes too small for its
+// tolerance or large enough, and now and then while this member has no leader.
+func (c *Core) watchGroupSize(now kernel.Instant) {
+	if c.IsLeader() && c.IsTooSmall() != c.groupSize.small {
+		c.groupSize.small = !c.groupSize.small
+		c.log(eventlog.GroupSizeChanged, "too_small", c.groupSize.small,
+			"voters", c.Voters(), "voters_needed", c.settings.Voters, "members", len(c.state.Members()))
+	}
+	if c.replica.Node == nil || now.Before(c.groupSize.nextNoQuorum) || !c.needsPlace(now) {
+		return
+	}
+	c.groupSize.nextNoQuorum = now.Add(noQuorumInterval)
+	at, _ := c.replica.Node.HeardLeaderAt()
+	c.log(eventlog.QuorumMissing, "leaderless_for", now.Sub(at), "voters", c.Voters(), "term", c.replica.Node.Term())
+}
--- /dev/null
+++ b/internal/registry/groupsize_test.go
@@ -0,0 +1,82 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+)
+
+// seedsOfPlatform is the number of seed addresses that a process is given.
+const seedsOfPlatform = 3
+
+// newTolerantCluster returns a group of some members that should bear the loss
+// of some disks at once. Members beyond the seeds join by themselves.
+func newTolerantCluster(t *testing.T, seed uint64, members, tolerance int) *cluster {
+	c := newCluster(t, seed, 0)
+	c.wanted = 2*tolerance + 1
+	for number := range min(members, seedsOfPlatform) {
+		c.seeds = append(c.seeds, address(number+1))
+	}
+	for number := range members {
+		c.add(address(number+1), true)
+	}
+	c.waitForLeader()
+	c.runUntil(5*time.Second, "all members vote", func() bool { return len(c.voters()) == min(members, c.wanted) })
+	return c
+}
+
+// loseDisksAndPower wipes some members' disks while all others lose power, and
+// starts all again.
+func (c *cluster) loseDisksAndPower(disks int) {
+	names := c.names()
+	for position, index := range c.random.Perm(len(names)) {
+		if position < disks {
+			c.wipe(names[index])
+			continue
+		}
+		c.kill(names[index], true)
+	}
+	c.run(time.Second)
+	for _, name := range names {
+		c.start(name)
+	}
+}
+
+// Bench run 72437ba8, day trouble-2: three members ran where two disks may be
+// lost at once, and nothing acknowledged was left.
+func TestTwoLostDisksAreBorneByFiveMembers(t *testing.T) {
+	for seed := range uint64(30) {
+		c := newTolerantCluster(t, seed, 5, 2)
+		require.NoError(t, c.publish(c.leader(), 5).Err)
+		c.loseDisksAndPower(2)
+		version, err := c.read(c.waitForLeader())
+		require.NoError(t, err)
+		require.Equal(t, uint64(5), version, "seed %d", seed)
+		c.runUntil(6*time.Second, "five voters again", func() bool { return len(c.voters()) == 5 })
+	}
+}
+
+func TestAGroupTooSmallForItsToleranceSaysSo(t *testing.T) {
+	c := newTolerantCluster(t, 1, 3, 2)
+	assert.True(t, c.leader().core.IsTooSmall())
+	assert.Equal(t, 1, c.events[eventlog.GroupSizeChanged])
+	c.add(address(4), false)
+	c.add(address(5), false)
+	c.runUntil(5*time.Second, "five voters", func() bool { return len(c.voters()) == 5 })
+	c.run(time.Second)
+	assert.False(t, c.leader().core.IsTooSmall())
+	assert.Equal(t, 2, c.events[eventlog.GroupSizeChanged])
+}
+
+func TestAMemberWithoutAQuorumSaysSo(t *testing.T) {
+	c := newTolerantCluster(t, 1, 3, 2)
+	require.NoError(t, c.publish(c.leader(), 5).Err)
+	c.loseDisksAndPower(2)
+	c.run(12 * time.Second)
+	assert.Nil(t, c.leader(), "one disk of three is no quorum")
+	assert.GreaterOrEqual(t, c.events[eventlog.QuorumMissing], 2)
+}
--- a/internal/registry/metrics.go
+++ b/internal/registry/metrics.go
@@ -22,6 +22,10 @@
 	targets  prometheus.Gauge
 	suspects prometheus.Gauge
 	lost     prometheus.Gauge
+	voters   prometheus.Gauge
+	// votersMissing is how many voters the stated tolerance needs and the group
+	// has not.
+	votersMissing prometheus.Gauge
 	// requests is the time from a call to its outcome, in seconds.
 	requests prometheus.Histogram
 	// saves is the time that the disk takes to make a batch last, in seconds.
@@ -33,18 +37,20 @@
 func newMetrics() *metrics {
 	set := hosting.NewMetrics("member")
 	return &metrics{
-		set:        set,
-		leader:     set.Gauge("leader", "1 while this member leads"),
-		term:       set.Gauge("term", "term of the replicated log"),
-		revision:   set.Gauge("revision", "log position of the last change"),
-		version:    set.Gauge("configuration_version", "version of the configuration that holds"),
-		nodes:      set.Gauge("nodes", "subscribed nodes"),
-		targets:    set.Gauge("targets", "remembered targets"),
-		suspects:   set.Gauge("suspects", "targets not heard from lately"),
-		lost:       set.Gauge("lost", "targets held for dead"),
-		requests:   set.Seconds("request_seconds", "time from a call to its outcome"),
-		saves:      set.Seconds("save_seconds", "time of the disk to make a batch last"),
-		leaderless: set.Counter("leaderless_seconds_total", "time without a known leader"),
+		set:           set,
+		leader:        set.Gauge("leader", "1 while this member leads"),
+		term:          set.Gauge("term", "term of the replicated log"),
+		revision:      set.Gauge("revision", "log position of the last change"),
+		version:       set.Gauge("configuration_version", "version of the configuration that holds"),
+		nodes:         set.Gauge("nodes", "subscribed nodes"),
+		targets:       set.Gauge("targets", "remembered targets"),
+		suspects:      set.Gauge("suspects", "targets not heard from lately"),
+		lost:          set.Gauge("lost", "targets held for dead"),
+		voters:        set.Gauge("voters", "voters of the group that this member knows of"),
+		votersMissing: set.Gauge("voters_missing", "voters that the stated tolerance needs and the group has not"),
+		requests:      set.Seconds("request_seconds", "time from a call to its outcome"),
+		saves:         set.Seconds("save_seconds", "time of the disk to make a batch last"),
+		leaderless:    set.Counter("leaderless_seconds_total", "time without a known leader"),
 	}
 }
 
@@ -60,6 +66,8 @@
 	m.version.Set(float64(core.state.Configuration().Version))
 	m.nodes.Set(float64(len(core.nodes)))
 	m.targets.Set(float64(core.state.TargetCount()))
+	m.voters.Set(float64(core.Voters()))
+	m.votersMissing.Set(float64(max(0, core.settings.Voters-core.Voters())))
 	m.lost.Set(float64(len(core.liveness.verdicts.Lost)))
 	m.suspects.Set(float64(len(core.liveness.verdicts.Suspects)))
 }
