New flows go where the fewest callers wait, not where the fewest flows are open

Change: a node counts flows whose callers wait for an answer; open flows do not count. Tests fail with the old count.

--- a/internal/steer/choice.go
+++ b/internal/steer/choice.go
@@ -8,9 +8,10 @@
 
 // Candidate is a target that could take a new flow.
 type Candidate struct {
-	// OpenFlows is the number of flows that this node has placed there.
-	OpenFlows int
-	Slots     int
+	// Waiting is the number of its flows at this node whose callers wait for an
+	// answer.
+	Waiting int
+	Slots   int
 	// Near is set when the target stands in the node's own zone.
 	Near bool
 	// Fresh is set while the target started so lately that it is still slow.
@@ -48,16 +49,17 @@
 	return random.IntN(len(candidates))
 }
 
+// The costs of a target, in flows that wait for an answer.
 const (
-	// farPenalty is the number of flows a slot that a target in another zone
-	// counts as more than it has.
-	farPenalty = 3.0
-	// freshPenalty is the same for a target that is still slow.
-	freshPenalty = 1.0
+	// farCost is that of each slot of a target in another zone.
+	farCost = 0.5
+	// freshCost is that of each slot of a target that is still slow.
+	freshCost = 0.5
 )
 
-// nearbyChoice takes the candidate with the fewest flows a slot. A target in
-// another zone must have farPenalty fewer. Equal ones are drawn by lot, so
+// nearbyChoice takes the candidate with the fewest waiting flows a slot. Flows
+// that rest do not count: a target that has just started has none, and all
+// nodes would send all new flows there. Equal candidates are drawn by lot, so
 // that many nodes do not all pick the same.
 type nearbyChoice struct{}
 
@@ -87,12 +89,12 @@
 }
 
 func costOf(candidate Candidate) float64 {
-	cost := float64(candidate.OpenFlows) / float64(max(candidate.Slots, 1))
+	cost := float64(candidate.Waiting) / float64(max(candidate.Slots, 1))
 	if !candidate.Near {
-		cost += farPenalty
+		cost += farCost
 	}
 	if candidate.Fresh {
-		cost += freshPenalty
+		cost += freshCost
 	}
 	return cost
 }
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -51,8 +51,9 @@
 
 // targetEntry is a target and what this node has seen of it.
 type targetEntry struct {
-	target    directory.Target
-	openFlows int
+	target directory.Target
+	// waitingFlows is the number of its flows whose callers wait for an answer.
+	waitingFlows int
 	// missedAt is when a copy showed that an opening packet was not answered.
 	missedAt kernel.Instant
 	// answeredAt is when a caller last showed that the target answered.
@@ -81,6 +82,9 @@
 	acknowledged uint32
 	last         kernel.Instant
 	pending      pendingData
+	// waits is set while the caller waits for an answer, since waitsSince.
+	waits      bool
+	waitsSince kernel.Instant
 }
 
 // Core decides on packets. One goroutine owns it.
@@ -94,6 +98,8 @@
 	flows         map[FlowKey]*flowEntry
 	// unanswered are the flows whose caller has sent data again.
 	unanswered map[FlowKey]*flowEntry
+	// waiting are the flows whose callers wait for an answer.
+	waiting    map[*flowEntry]struct{}
 	reportedAt kernel.Instant
 	// answering are the targets that have answered since the last report, and
 	// missing those that have left opening packets unanswered.
@@ -115,6 +121,7 @@
 		flows:    map[FlowKey]*flowEntry{},
 
 		unanswered: map[FlowKey]*flowEntry{},
+		waiting:    map[*flowEntry]struct{}{},
 		missing:    map[*targetEntry]bool{},
 	}
 }
@@ -276,11 +283,7 @@
 	if !known {
 		return
 	}
-	if flow.target != entry {
-		flow.target.openFlows--
-		flow.target = entry
-		entry.openFlows++
-	}
+	c.moveFlow(flow, entry)
 	c.notePending(now, packet, flow)
 	flow.opened = true
 	flow.acknowledged = packet.Acknowledged
@@ -292,11 +295,19 @@
 		return
 	}
 	c.flows[key] = &flowEntry{target: entry, last: now}
-	entry.openFlows++
+}
+
+// moveFlow notes that a flow is at another target than was thought.
+func (c *Core) moveFlow(flow *flowEntry, entry *targetEntry) {
+	if flow.target == entry {
+		return
+	}
+	c.endWait(flow)
+	flow.target = entry
 }
 
 func (c *Core) forget(key FlowKey, flow *flowEntry) {
-	flow.target.openFlows--
+	c.endWait(flow)
 	delete(c.flows, key)
 	delete(c.unanswered, key)
 }
--- a/internal/steer/core_test.go
+++ b/internal/steer/core_test.go
@@ -258,7 +258,8 @@
 	assert.Equal(t, 1, b.core.Flows(), "openings without an answer are forgotten")
 	b.core.Tick(start.Add(time.Minute))
 	assert.Equal(t, 0, b.core.Flows())
-	assert.Equal(t, 0, b.core.targets[target.Token].openFlows)
+	assert.Equal(t, 0, b.core.targets[target.Token].waitingFlows)
+	assert.Empty(t, b.core.waiting)
 }
 
 func data(port uint16, token directory.Token, sequence uint32) Packet {
--- a/internal/steer/evidence.go
+++ b/internal/steer/evidence.go
@@ -63,6 +63,7 @@
 	if packet.Size == 0 {
 		return
 	}
+	c.beginWait(now, flow)
 	pending := &flow.pending
 	if !pending.waiting {
 		*pending = pendingData{waiting: true, since: now, highest: packet.Sequence}
@@ -80,6 +81,7 @@
 // settle ends the wait for an answer.
 func (c *Core) settle(key FlowKey, flow *flowEntry) {
 	flow.pending.waiting = false
+	c.endWait(flow)
 	delete(c.unanswered, key)
 }
 
@@ -100,6 +102,7 @@
 // Report returns the evidence since the last report. When the node itself was
 // stopped for a while there is none: what it saw is old.
 func (c *Core) Report(now kernel.Instant, interval time.Duration) Evidence {
+	c.endOldWaits(now)
 	since := c.reportedAt
 	c.reportedAt = now
 	answering := c.takeAnswering()
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -47,11 +47,8 @@
 	if !known {
 		return
 	}
-	if flow.target != target {
-		flow.target.openFlows--
-		flow.target = target
-		target.openFlows++
-	}
+	c.moveFlow(flow, target)
+	c.beginWait(now, flow)
 	flow.tried = append(flow.tried, target.target.Token)
 	flow.placedAt = now
 	flow.last = now
@@ -140,10 +137,10 @@
 func (c *Core) addCandidate(now kernel.Instant, entry *targetEntry) {
 	c.usable = append(c.usable, entry)
 	c.candidates = append(c.candidates, Candidate{
-		OpenFlows: entry.openFlows,
-		Slots:     int(entry.target.Slots),
-		Near:      entry.target.Zone == c.settings.Zone,
-		Fresh:     now.Sub(entry.addedAt) < c.settings.FreshFor,
+		Waiting: entry.waitingFlows,
+		Slots:   int(entry.target.Slots),
+		Near:    entry.target.Zone == c.settings.Zone,
+		Fresh:   now.Sub(entry.addedAt) < c.settings.FreshFor,
 	})
 }
 
--- /dev/null
+++ b/internal/steer/waiting_test.go
@@ -0,0 +1,110 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+)
+
+// openFlow places a flow and lets its target answer at once, so that it rests.
+func (b *bench) openFlow(now kernel.Instant, port uint16) directory.Token {
+	decision := b.core.Decide(now, opening(port, 0))
+	packet := following(port, decision.Target.Token, 1)
+	b.core.Decide(now, packet)
+	return decision.Target.Token
+}
+
+// addTargets registers targets of the node's zone.
+func (b *bench) addTargets(now kernel.Instant, first, count int) []directory.Token {
+	var tokens []directory.Token
+	for number := first; number < first+count; number++ {
+		address := fmt.Sprintf("10.0.0.%d:1", number)
+		target := b.target(now, fmt.Sprintf("i-%d", number), "booking", "north", address, directory.TargetReady)
+		tokens = append(tokens, target.Token)
+	}
+	return tokens
+}
+
+// Bench day scale-2 of the third customer: four targets that had just started
+// took 518 of 890 new flows, since every node held them for empty.
+func TestNewTargetsAreNoEmptyOnes(t *testing.T) {
+	b := booking(t)
+	b.addTargets(start, 1, 10)
+	port := uint16(1)
+	for range 200 {
+		b.openFlow(start, port)
+		port++
+	}
+	later := start.Add(5 * time.Second)
+	added := b.addTargets(later, 20, 4)
+	slow := later.Add(DefaultSettings().FreshFor)
+	taken := 0
+	for range 140 {
+		token := b.openFlow(slow, port)
+		port++
+		if contains(added, token) {
+			taken++
+		}
+	}
+	assert.Less(t, taken, 140*2/3, "4 of 14 targets")
+	assert.Greater(t, taken, 140/14*4/2)
+}
+
+func TestATargetWithWaitingCallersIsPassedOver(t *testing.T) {
+	b := booking(t)
+	tokens := b.addTargets(start, 1, 3)
+	slow := tokens[0]
+	for port := range uint16(4) {
+		packet := following(port+1, slow, 1)
+		packet.Size = 100
+		b.core.Decide(start, packet)
+	}
+	for port := range uint16(20) {
+		assert.NotEqual(t, slow, b.openFlow(start, 100+port))
+	}
+}
+
+func TestAWaitEndsWithAnAnswerOrWhenTheCallerWouldHaveSentAgain(t *testing.T) {
+	b := booking(t)
+	token := b.addTargets(start, 1, 1)[0]
+	entry := b.core.targets[token]
+	request := following(1, token, 5)
+	request.Size = 100
+	steps := []struct {
+		name    string
+		after   time.Duration
+		packet  Packet
+		waiting int
+	}{
+		{"a request", 0, request, 1},
+		{"an acknowledgement that moves on", 20 * time.Millisecond, following(1, token, 9), 0},
+		{"another request", 100 * time.Millisecond, withSequence(request, 9, 200), 1},
+		{"the same again", 300 * time.Millisecond, withSequence(request, 9, 200), 1},
+	}
+	for _, step := range steps {
+		b.core.Decide(start.Add(step.after), step.packet)
+		assert.Equal(t, step.waiting, entry.waitingFlows, step.name)
+	}
+	b.core.endOldWaits(start.Add(700 * time.Millisecond))
+	assert.Equal(t, 1, entry.waitingFlows, "the next copy is due 400 ms after the first")
+	b.core.endOldWaits(start.Add(900 * time.Millisecond))
+	assert.Equal(t, 0, entry.waitingFlows)
+	b.core.Decide(start.Add(time.Second), withSequence(request, 9, 300))
+	closing := following(1, token, 9)
+	closing.Closing = true
+	b.core.Decide(start.Add(time.Second), closing)
+	assert.Equal(t, 0, entry.waitingFlows, "a flow that ends waits no more")
+	assert.Empty(t, b.core.waiting)
+}
+
+// withSequence returns a packet with other positions.
+func withSequence(packet Packet, acknowledged, sequence uint32) Packet {
+	packet.Acknowledged = acknowledged
+	packet.Sequence = sequence
+	return packet
+}
