Attempts to connect overlap, so a silent machine holds up no other

Change: peerlink.DialFirst begins an attempt every 40 ms; the first connection wins. A link that opens late drops what is old.

--- a/internal/edge/subscriber.go
+++ b/internal/edge/subscriber.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"slices"
@@ -78,50 +79,69 @@
 	return slices.Clone(s.seeds)
 }
 
-// run follows members until the process stops. After each member that could be
+// run follows members until the process stops. After each member that was
 // followed the order is made anew, since more members may be known by then.
 func (s *subscriber) run() {
-	for {
-		s.list.Seeds = s.currentSeeds()
-		for _, member := range s.list.Order() {
-			followed := s.follow(member)
-			select {
-			case <-s.process.stopped:
-				return
-			case <-time.After(retryPause):
-			}
-			if followed {
-				break
-			}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-s.process.stopped
+		cancel()
+	}()
+	for ctx.Err() == nil {
+		connection, member := s.reach(ctx)
+		if connection == nil {
+			return
+		}
+		s.follow(connection, member)
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryPause):
 		}
 	}
 }
 
-// follow takes updates from a member until it is silent or not current. It
-// returns false when the member could not be reached.
-func (s *subscriber) follow(member directory.Member) bool {
-	s.list.NoteFault(member.Address, s.process.now())
-	connection, err := peerlink.Dial(member.Address)
+// reach connects to the first member in the list's order that answers, the
+// next one beside those that have not yet. It returns nil once the process stops.
+func (s *subscriber) reach(ctx context.Context) (net.Conn, directory.Member) {
+	tried := map[string]directory.Member{}
+	var order []directory.Member
+	connection, address, err := peerlink.DialFirst(ctx, func() (string, bool) {
+		if len(order) == 0 {
+			s.list.Seeds = s.currentSeeds()
+			order = s.list.Order()
+		}
+		member := order[0]
+		order = order[1:]
+		tried[member.Address] = member
+		s.list.NoteFault(member.Address, s.process.now())
+		return member.Address, true
+	})
 	if err != nil {
-		s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
-		return false
+		return nil, directory.Member{}
 	}
+	s.list.NoteFault(address, s.process.now())
+	return connection, tried[address]
+}
+
+// follow takes updates from a member until it is silent or not current.
+func (s *subscriber) follow(connection net.Conn, member directory.Member) {
 	defer func() { _ = connection.Close() }()
 	subscribe := registry.Subscribe{Node: s.process.settings.Name, Zone: s.process.settings.Zone, Revision: s.revision, Waited: time.Since(s.process.started), Beats: s.process.settings.Beats}
 	if err := peerlink.Write(connection, wire.AppendFrame(nil, subscribe.Frame())); err != nil {
-		return false
+		s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
+		return
 	}
 	s.process.logger.Sampled(eventlog.ControlConnected, "address", member.Address, "zone", member.Zone, "revision", s.revision)
 	s.following.Store(&member.Address)
 	defer s.following.Store(nil)
 	s.openReports(connection)
 	defer s.closeReports()
-	err = s.read(connection, member)
+	err := s.read(connection, member)
 	if errors.Is(err, errNearer) {
 		s.list.ClearFaults()
 	}
 	s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
-	return true
 }
 
 func (s *subscriber) read(connection net.Conn, member directory.Member) error {
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -5,6 +5,7 @@
 package peerlink
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -21,11 +22,10 @@
 const (
 	queueCapacity = 1024
 	batchLimit    = 64
-	// dialTimeout is short: a machine without power says nothing, and a new
-	// attempt finds it as soon as it is back.
-	dialTimeout  = 200 * time.Millisecond
-	dialBackoff  = 100 * time.Millisecond
-	writeTimeout = time.Second
+	// staleAttempts is the number of attempts to connect after which what has
+	// waited for the link is old and is dropped.
+	staleAttempts = 6
+	writeTimeout  = time.Second
 	// partSize is the number of bytes that must be taken within writeTimeout.
 	partSize = 16 << 10
 	// unackedTimeout is how long sent bytes may stay unacknowledged before
@@ -38,16 +38,20 @@
 
 // Links are the outgoing links of a process.
 type Links struct {
-	notify Notify
-	mutex  sync.Mutex
-	links  map[string]*ring.Ring[wire.Frame]
-	closed bool
-	group  sync.WaitGroup
+	notify  Notify
+	context context.Context
+	cancel  context.CancelFunc
+	mutex   sync.Mutex
+	links   map[string]*ring.Ring[wire.Frame]
+	closed  bool
+	group   sync.WaitGroup
 }
 
 // New returns a set of links without any link yet.
 func New(notify Notify) *Links {
-	return &Links{notify: notify, links: map[string]*ring.Ring[wire.Frame]{}}
+	l := &Links{notify: notify, links: map[string]*ring.Ring[wire.Frame]{}}
+	l.context, l.cancel = context.WithCancel(context.Background())
+	return l
 }
 
 // Send queues a frame for an address and never blocks.
@@ -78,6 +82,7 @@
 		queue.Close()
 	}
 	l.mutex.Unlock()
+	l.cancel()
 	l.group.Wait()
 }
 
@@ -93,10 +98,12 @@
 			return
 		}
 		if connection == nil {
-			connection = l.dial(address)
-		}
-		if connection == nil {
-			continue
+			var late bool
+			connection, late = l.dial(address)
+			if late {
+				queue.Discard()
+				continue
+			}
 		}
 		if err := writeFrames(connection, batch); err != nil {
 			l.notify(address, steperror.Wrap("peerlink.write", address, err))
@@ -106,14 +113,19 @@
 	}
 }
 
-func (l *Links) dial(address string) net.Conn {
-	connection, err := Dial(address)
+// dial connects to an address and tells whether that took so long that what
+// has waited meanwhile is old. It returns nil when the links are closed.
+func (l *Links) dial(address string) (connection net.Conn, late bool) {
+	attempts := 0
+	connection, _, err := DialFirst(l.context, func() (string, bool) {
+		attempts++
+		return address, true
+	})
 	if err != nil {
-		time.Sleep(dialBackoff)
-		return nil
+		return nil, true
 	}
 	l.notify(address, nil)
-	return connection
+	return connection, attempts > staleAttempts
 }
 
 func writeFrames(connection net.Conn, frames []wire.Frame) error {
@@ -161,13 +173,6 @@
 	return r.connection.Read(buffer)
 }
 
-// Dial opens a connection that notices a silent peer.
-func Dial(address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: limitUnacked}
-	connection, err := dialer.Dial("tcp4", address)
-	return connection, steperror.Wrap("peerlink.dial", address, err)
-}
-
 // Listen opens a listener whose connections notice a silent peer.
 func Listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp4", address)
--- a/internal/peerlink/peerlink_test.go
+++ b/internal/peerlink/peerlink_test.go
@@ -17,7 +17,7 @@
 	listener, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
-	near, err = Dial(listener.Addr().String())
+	near, _, err = DialFirst(t.Context(), addresses(listener.Addr().String()))
 	require.NoError(t, err)
 	far, err = listener.Accept()
 	require.NoError(t, err)
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -105,6 +105,18 @@
 	return batch, true
 }
 
+// Discard removes all queued items and returns their number.
+func (r *Ring[T]) Discard() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	discarded := r.count
+	clear(r.items)
+	r.head = 0
+	r.count = 0
+	r.notFull.Broadcast()
+	return discarded
+}
+
 // Close wakes all waiting goroutines; items already queued can still be popped.
 func (r *Ring[T]) Close() {
 	r.mutex.Lock()
