What waited for a node to be ready is sent in a window, prompt packets first

Change: packets are released while fewer than 6 flows of the node wait; prompt ones newest first, then the oldest still waited for.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -266,10 +266,16 @@
 		p.metrics.malformed.Inc()
 		return
 	}
-	if !p.core.IsReady() && !packet.Forged && p.waiting.add(now, packet.Flow, datagram) {
+	if !p.core.IsReady() && !packet.Forged && p.waiting.add(now, packet, datagram) {
 		p.metrics.waited.Inc()
 		return
 	}
+	p.waiting.drop(packet.Flow)
+	p.decide(now, packet, datagram)
+}
+
+// decide carries out the core's decision on a packet.
+func (p *Process) decide(now kernel.Instant, packet steer.Packet, datagram []byte) {
 	decision := p.core.Decide(now, packet)
 	p.metrics.count(decision)
 	p.logDecision(packet, decision)
@@ -357,7 +363,7 @@
 func (p *Process) noteReadiness() {
 	ready := p.core.IsReady()
 	if p.ready.Swap(ready) != ready {
-		p.logger.Event(eventlog.ReadinessChanged, "ready", ready, "revision", p.core.Revision(), "waiting", len(p.waiting.order))
+		p.logger.Event(eventlog.ReadinessChanged, "ready", ready, "revision", p.core.Revision(), "waiting", len(p.waiting.packets))
 	}
 	if ready && !p.waiting.isEmpty() {
 		p.spawn(p.runRelease)
@@ -385,12 +391,24 @@
 type releaseInput struct{ more chan bool }
 
 func (i releaseInput) handle(p *Process, now kernel.Instant) {
-	for _, datagram := range p.waiting.take(now, releaseBatch) {
+	for p.core.WaitingFlows() < releaseWindow {
+		datagram, more := p.waiting.take(now, p.patience)
+		if !more {
+			break
+		}
 		p.handleDatagram(now, datagram)
 	}
 	i.more <- !p.waiting.isEmpty()
 }
 
+// patience returns how long the caller of a flow waits.
+func (p *Process) patience(flow steer.FlowKey) time.Duration {
+	if limit := p.core.Timeout(flow); limit > 0 {
+		return min(limit, callerPatience)
+	}
+	return callerPatience
+}
+
 // verdictsInput brings the control members' view of the targets.
 type verdictsInput struct {
 	suspects []directory.Token
--- a/internal/edge/waitlist.go
+++ b/internal/edge/waitlist.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/kernel"
@@ -11,20 +13,31 @@
 	// waitCapacity is the number of flows whose packets wait for the node to
 	// be ready.
 	waitCapacity = 1024
-	// waitLifetime is how long a packet is worth keeping: its caller tries anew
-	// by then.
-	waitLifetime = 900 * time.Millisecond
-	// releaseInterval and releaseBatch pace the packets once the node is ready,
-	// so that many nodes that start at once do not flood the targets.
+	// callerPatience is how long a caller waits for its flow to open before it
+	// ends the attempt (users' protocol page, "Flows").
+	callerPatience = 1400 * time.Millisecond
+	// promptAge is the age up to which an answer can still be a prompt one: the
+	// caller has not sent its packet again yet.
+	promptAge = 200 * time.Millisecond
+	// releaseInterval is the time between two looks at the packets that wait.
 	releaseInterval = 10 * time.Millisecond
-	releaseBatch    = 2
+	// releaseWindow is the number of flows that may wait for an answer while
+	// packets that have waited are sent. Many nodes become ready at once; with
+	// more, new callers wait behind those that are late already. Scores differ
+	// little between 2 and 12 (docs/DECISIONS.md, round 4).
+	releaseWindow = 6
 )
 
+// copyAges are the ages of an opening packet and its copies when the caller
+// sends them.
+var copyAges = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
 // waitingPacket is the newest packet of a flow.
 type waitingPacket struct {
 	flow     steer.FlowKey
 	datagram []byte
-	at       kernel.Instant
+	// since is when the caller first sent the packet, as far as it shows.
+	since kernel.Instant
 }
 
 // waitlist keeps the newest packet of each flow that came before the node was
@@ -32,41 +45,68 @@
 // it gives the attempt up.
 type waitlist struct {
 	packets map[steer.FlowKey]*waitingPacket
-	order   []*waitingPacket
+	// order holds the packets by since. Those that were dropped are still in it.
+	order []*waitingPacket
 }
 
 func newWaitlist() *waitlist { return &waitlist{packets: map[steer.FlowKey]*waitingPacket{}} }
 
 // add keeps a packet in place of an older one of its flow. It returns false
 // when there is no room.
-func (w *waitlist) add(now kernel.Instant, flow steer.FlowKey, datagram []byte) bool {
-	kept, known := w.packets[flow]
+func (w *waitlist) add(now kernel.Instant, packet steer.Packet, datagram []byte) bool {
+	kept, known := w.packets[packet.Flow]
 	if !known {
 		if len(w.packets) >= waitCapacity {
 			return false
 		}
-		kept = &waitingPacket{flow: flow}
-		w.packets[flow] = kept
-		w.order = append(w.order, kept)
+		kept = &waitingPacket{flow: packet.Flow, since: now.Add(-ageOf(packet))}
+		w.packets[packet.Flow] = kept
+		w.insert(kept)
 	}
 	kept.datagram = append(kept.datagram[:0], datagram...)
-	kept.at = now
 	return true
 }
 
-// take returns up to limit packets that are still worth sending, those of the
-// flows that came first.
-func (w *waitlist) take(now kernel.Instant, limit int) [][]byte {
-	var datagrams [][]byte
-	for len(w.order) > 0 && len(datagrams) < limit {
-		next := w.order[0]
-		w.order = w.order[1:]
+// insert puts a packet behind those whose callers began to wait earlier.
+func (w *waitlist) insert(kept *waitingPacket) {
+	position := sort.Search(len(w.order), func(i int) bool { return w.order[i].since > kept.since })
+	w.order = slices.Insert(w.order, position, kept)
+}
+
+// ageOf returns how long ago the caller first sent a packet, as far as it shows.
+func ageOf(packet steer.Packet) time.Duration {
+	if !packet.Opening {
+		return 0
+	}
+	return copyAges[min(int(packet.Copy), len(copyAges)-1)]
+}
+
+// drop forgets the packet of a flow: a newer one has come.
+func (w *waitlist) drop(flow steer.FlowKey) { delete(w.packets, flow) }
+
+// take returns the packet that is worth most: the newest, as long as its answer
+// can be prompt; else the oldest whose caller is still there. The function
+// tells how long a flow's caller waits.
+func (w *waitlist) take(now kernel.Instant, patience func(steer.FlowKey) time.Duration) ([]byte, bool) {
+	for len(w.order) > 0 {
+		last := len(w.order) - 1
+		next := w.order[last]
+		prompt := now.Sub(next.since) < promptAge
+		if prompt {
+			w.order = w.order[:last]
+		} else {
+			next = w.order[0]
+			w.order = w.order[1:]
+		}
+		if w.packets[next.flow] != next {
+			continue
+		}
 		delete(w.packets, next.flow)
-		if now.Sub(next.at) <= waitLifetime {
-			datagrams = append(datagrams, next.datagram)
+		if prompt || now.Sub(next.since) < patience(next.flow) {
+			return next.datagram, true
 		}
 	}
-	return datagrams
+	return nil, false
 }
 
-func (w *waitlist) isEmpty() bool { return len(w.order) == 0 }
+func (w *waitlist) isEmpty() bool { return len(w.packets) == 0 }
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -135,6 +135,17 @@
 // Members returns the control members that the node knows of.
 func (c *Core) Members() []directory.Member { return c.members }
 
+// WaitingFlows returns the number of flows whose callers wait for an answer.
+func (c *Core) WaitingFlows() int { return len(c.waiting) }
+
+// Timeout returns the time limit of a flow's route, or 0 when it has none.
+func (c *Core) Timeout(flow FlowKey) time.Duration {
+	if entry, routed := c.routes[flow.Virtual]; routed {
+		return entry.route.Timeout
+	}
+	return 0
+}
+
 // Flows returns the number of flows that are counted.
 func (c *Core) Flows() int { return len(c.flows) }
 
