A member pledges its pre-vote to one other at a time and asks again sooner

Change: a pre-vote is pledged for 1/12 of the election timeout, and puts off the member's own request; requests are repeated after 21 to 42 ms.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -15,7 +15,7 @@
 
 // preVoteRetryDivisor gives the time between two requests for pre-votes as a
 // part of the election timeout.
-const preVoteRetryDivisor = 4
+const preVoteRetryDivisor = 12
 
 // retryPreVoteSoon asks again before a whole election timeout has passed. A
 // pre-vote changes nothing, and most refusals end within that time: after a
@@ -124,7 +124,7 @@
 }
 
 func (n *Node) handlePreVote(now kernel.Instant, message Message) {
-	granted := message.Term > n.hard.Term && !n.bound(now) && n.upToDate(message)
+	granted := message.Term > n.hard.Term && !n.bound(now) && n.upToDate(message) && n.pledge(now, message.From)
 	reply := Message{Kind: MessagePreVoteReply, To: message.From, Reject: !granted}
 	if granted {
 		reply.Term = message.Term
@@ -132,6 +132,22 @@
 	n.send(reply)
 }
 
+// pledge promises a pre-vote to one member at a time, and puts off this one's own
+// request meanwhile. Members that have waited for the same third one would
+// otherwise get its support together, become candidates together and split the
+// vote.
+func (n *Node) pledge(now kernel.Instant, to MemberID) bool {
+	if n.pledgedTo != to && now.Before(n.pledgedUntil) {
+		return false
+	}
+	n.pledgedTo = to
+	n.pledgedUntil = now.Add(n.settings.ElectionTimeout / preVoteRetryDivisor)
+	if n.role == PreCandidate {
+		n.retryPreVoteSoon(now)
+	}
+	return true
+}
+
 func (n *Node) handleVote(now kernel.Instant, message Message) {
 	if message.Term < n.hard.Term || n.bound(now) {
 		n.send(Message{Kind: MessageVoteReply, To: message.From, Reject: true})
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -128,6 +128,9 @@
 	leaderContact kernel.Instant
 	heardLeader   bool
 	electionAt    kernel.Instant
+	// pledgedTo is the member that has this one's pre-vote until pledgedUntil.
+	pledgedTo    MemberID
+	pledgedUntil kernel.Instant
 	// tickedAt is when Tick was last called.
 	tickedAt kernel.Instant
 	// patientUntil is when others may be held for silent again after a stall.
