Open flows follow the targets on a member's disk until a member is current

Change: a member that is not current sends a fresh node the targets on its disk; the node forwards open flows by them and places none.

--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -243,8 +243,14 @@
 
 // freeToken returns the token of an incarnation: a hash of its ID that no
 // remembered incarnation has.
+func firstToken(id string) Token { return Token(xxhash.Sum64String(id)) }
+
+// HasOwnToken reports whether the target's token follows from its name alone,
+// and not also from the targets that were registered before it.
+func (t Target) HasOwnToken() bool { return t.Token == firstToken(t.ID) }
+
 func (s *State) freeToken(id string) Token {
-	token := Token(xxhash.Sum64String(id))
+	token := firstToken(id)
 	for {
 		_, taken := s.tokens[token]
 		if token != 0 && !taken {
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -84,6 +84,20 @@
 	return encoder.Buffer
 }
 
+// EncodeTargets returns the bytes of a list of targets.
+func EncodeTargets(targets []Target) []byte {
+	var encoder wire.Encoder
+	encodeTargets(&encoder, targets)
+	return encoder.Buffer
+}
+
+// DecodeTargets reads a list of targets.
+func DecodeTargets(data []byte) ([]Target, error) {
+	decoder := wire.NewDecoder(data)
+	targets := decodeTargets(decoder)
+	return targets, decoder.Err("directory.decode_targets")
+}
+
 // smallestEdit is the size in bytes of an edit without content.
 const smallestEdit = 36
 
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -79,6 +79,8 @@
 	stopped    chan struct{}
 	ticks      int
 	waiting    *waitlist
+	// releasing is set while what has waited is being sent.
+	releasing bool
 }
 
 // input is a typed message for the goroutine that owns the core.
@@ -266,7 +268,7 @@
 		p.metrics.malformed.Inc()
 		return
 	}
-	if !p.core.IsReady() && !packet.Forged && p.waiting.add(now, packet, datagram) {
+	if !p.core.CanDecide(packet) && p.waiting.add(now, packet, datagram) {
 		p.metrics.waited.Inc()
 		return
 	}
@@ -365,11 +367,20 @@
 	if p.ready.Swap(ready) != ready {
 		p.logger.Event(eventlog.ReadinessChanged, "ready", ready, "revision", p.core.Revision(), "waiting", len(p.waiting.packets))
 	}
-	if ready && !p.waiting.isEmpty() {
-		p.spawn(p.runRelease)
+	if ready {
+		p.startRelease()
 	}
 }
 
+// startRelease begins to send what has waited, unless that is under way.
+func (p *Process) startRelease() {
+	if p.waiting.isEmpty() || p.releasing {
+		return
+	}
+	p.releasing = true
+	p.spawn(p.runRelease)
+}
+
 // runRelease paces the packets that have waited for the node to be ready.
 func (p *Process) runRelease() {
 	ticker := time.NewTicker(releaseInterval)
@@ -392,13 +403,14 @@
 
 func (i releaseInput) handle(p *Process, now kernel.Instant) {
 	for p.core.WaitingFlows() < releaseWindow {
-		datagram, more := p.waiting.take(now, p.patience)
+		datagram, more := p.waiting.take(now, p.core.CanDecide, p.patience)
 		if !more {
 			break
 		}
 		p.handleDatagram(now, datagram)
 	}
-	i.more <- !p.waiting.isEmpty()
+	p.releasing = !p.waiting.isEmpty()
+	i.more <- p.releasing
 }
 
 // patience returns how long the caller of a flow waits.
@@ -409,6 +421,16 @@
 	return callerPatience
 }
 
+// rememberedInput brings the targets that a member's disk knows of. Packets of
+// their open flows need nothing else.
+type rememberedInput struct{ targets []directory.Target }
+
+func (i rememberedInput) handle(p *Process, now kernel.Instant) {
+	known := p.core.Remember(now, i.targets)
+	p.logger.Event(eventlog.TargetsRemembered, "targets", len(i.targets), "taken", known, "waiting", len(p.waiting.packets))
+	p.startRelease()
+}
+
 // verdictsInput brings the control members' view of the targets.
 type verdictsInput struct {
 	suspects []directory.Token
--- a/internal/edge/subscriber.go
+++ b/internal/edge/subscriber.go
@@ -156,6 +156,8 @@
 		switch frame.Kind {
 		case wire.FrameUpdate:
 			err = s.receiveUpdate(frame.Payload)
+		case wire.FrameRemembered:
+			err = s.receiveRemembered(frame.Payload)
 		case wire.FrameAlive:
 			currentAt, err = s.receiveAlive(frame.Payload, currentAt)
 		}
@@ -168,6 +170,16 @@
 	}
 }
 
+// receiveRemembered takes the targets that a member knows of before it knows
+// more.
+func (s *subscriber) receiveRemembered(payload []byte) error {
+	targets, err := directory.DecodeTargets(payload)
+	if err == nil {
+		s.process.inputs.Push(rememberedInput{targets: targets})
+	}
+	return err
+}
+
 func (s *subscriber) receiveUpdate(payload []byte) error {
 	update, err := directory.DecodeUpdate(payload)
 	if err != nil {
--- a/internal/edge/waitlist.go
+++ b/internal/edge/waitlist.go
@@ -34,7 +34,7 @@
 
 // waitingPacket is the newest packet of a flow.
 type waitingPacket struct {
-	flow     steer.FlowKey
+	packet   steer.Packet
 	datagram []byte
 	// since is when the caller first sent the packet, as far as it shows.
 	since kernel.Instant
@@ -59,10 +59,11 @@
 		if len(w.packets) >= waitCapacity {
 			return false
 		}
-		kept = &waitingPacket{flow: packet.Flow, since: now.Add(-ageOf(packet))}
+		kept = &waitingPacket{since: now.Add(-ageOf(packet))}
 		w.packets[packet.Flow] = kept
 		w.insert(kept)
 	}
+	kept.packet = packet
 	kept.datagram = append(kept.datagram[:0], datagram...)
 	return true
 }
@@ -84,29 +85,44 @@
 // drop forgets the packet of a flow: a newer one has come.
 func (w *waitlist) drop(flow steer.FlowKey) { delete(w.packets, flow) }
 
-// take returns the packet that is worth most: the newest, as long as its answer
-// can be prompt; else the oldest whose caller is still there. The function
-// tells how long a flow's caller waits.
-func (w *waitlist) take(now kernel.Instant, patience func(steer.FlowKey) time.Duration) ([]byte, bool) {
-	for len(w.order) > 0 {
-		last := len(w.order) - 1
-		next := w.order[last]
-		prompt := now.Sub(next.since) < promptAge
-		if prompt {
-			w.order = w.order[:last]
-		} else {
-			next = w.order[0]
-			w.order = w.order[1:]
+// take returns the packet that is worth most of those that can be sent: the
+// newest, as long as its answer can be prompt; else the oldest whose caller is
+// still there. Patience tells how long a flow's caller waits.
+func (w *waitlist) take(now kernel.Instant, canSend func(steer.Packet) bool, patience func(steer.FlowKey) time.Duration) ([]byte, bool) {
+	w.clean(now, patience)
+	position := w.best(now, canSend)
+	if position < 0 {
+		return nil, false
+	}
+	taken := w.order[position]
+	w.order = slices.Delete(w.order, position, position+1)
+	delete(w.packets, taken.packet.Flow)
+	return taken.datagram, true
+}
+
+// clean forgets the packets that were dropped and those whose callers have left.
+func (w *waitlist) clean(now kernel.Instant, patience func(steer.FlowKey) time.Duration) {
+	w.order = slices.DeleteFunc(w.order, func(kept *waitingPacket) bool {
+		flow := kept.packet.Flow
+		if w.packets[flow] != kept {
+			return true
 		}
-		if w.packets[next.flow] != next {
-			continue
+		left := now.Sub(kept.since) >= patience(flow)
+		if left {
+			delete(w.packets, flow)
 		}
-		delete(w.packets, next.flow)
-		if prompt || now.Sub(next.since) < patience(next.flow) {
-			return next.datagram, true
+		return left
+	})
+}
+
+// best returns the position of the packet that is worth most, or -1.
+func (w *waitlist) best(now kernel.Instant, canSend func(steer.Packet) bool) int {
+	for position := len(w.order) - 1; position >= 0 && now.Sub(w.order[position].since) < promptAge; position-- {
+		if canSend(w.order[position].packet) {
+			return position
 		}
 	}
-	return nil, false
+	return slices.IndexFunc(w.order, func(kept *waitingPacket) bool { return canSend(kept.packet) })
 }
 
 func (w *waitlist) isEmpty() bool { return len(w.packets) == 0 }
--- a/internal/edge/waitlist_test.go
+++ b/internal/edge/waitlist_test.go
@@ -19,11 +19,13 @@
 
 func forASecond(steer.FlowKey) time.Duration { return time.Second }
 
+func always(steer.Packet) bool { return true }
+
 // takeAll returns what the list gives, in order.
 func takeAll(w *waitlist, now kernel.Instant) []string {
 	var list []string
 	for {
-		datagram, more := w.take(now, forASecond)
+		datagram, more := w.take(now, always, forASecond)
 		if !more {
 			return list
 		}
@@ -90,3 +92,19 @@
 	assert.True(t, w.add(0, packet(3), nil), "a flow that already waits")
 	assert.Len(t, takeAll(w, 0), waitCapacity)
 }
+
+func TestPacketsOfOpenFlowsGoBeforeTheNodeIsReady(t *testing.T) {
+	w := newWaitlist()
+	now := kernel.Instant(time.Minute)
+	newFlow := packet(1)
+	newFlow.Opening = true
+	w.add(now, newFlow, []byte("new flow"))
+	w.add(now, packet(2), []byte("open flow"))
+	isOpen := func(packet steer.Packet) bool { return !packet.Opening }
+	datagram, more := w.take(now, isOpen, forASecond)
+	assert.True(t, more)
+	assert.Equal(t, "open flow", string(datagram))
+	_, more = w.take(now, isOpen, forASecond)
+	assert.False(t, more)
+	assert.Equal(t, []string{"new flow"}, takeAll(w, now))
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -77,6 +77,7 @@
 	DirectoryUpdated   ID = 2100
 	DirectoryRefused   ID = 2101
 	MemberNotCurrent   ID = 2102
+	TargetsRemembered  ID = 2103
 	ReadinessChanged   ID = 2110
 	FlowPlaced         ID = 2120
 	FlowPlacedAgain    ID = 2121
@@ -152,6 +153,7 @@
 	{DirectoryUpdated, "directory_updated", "update of configuration and targets in force"},
 	{DirectoryRefused, "directory_refused", "update does not fit what the node has and the whole state is asked for"},
 	{MemberNotCurrent, "member_not_current", "the control member is not current and another one is tried"},
+	{TargetsRemembered, "targets_remembered", "targets from a member's disk taken for open flows, before any member is current"},
 	{ReadinessChanged, "readiness_changed", "node reports another readiness"},
 	{FlowPlaced, "flow_placed", "new flow sent to a target"},
 	{FlowPlacedAgain, "flow_placed_again", "copy of an opening packet sent to another target"},
--- a/internal/lab/fleetsim/edge.go
+++ b/internal/lab/fleetsim/edge.go
@@ -231,6 +231,12 @@
 	switch frame.Kind {
 	case wire.FrameUpdate:
 		e.update(frame.Payload)
+	case wire.FrameRemembered:
+		targets, err := directory.DecodeTargets(frame.Payload)
+		if err != nil {
+			panic(err)
+		}
+		e.core.Remember(w.now, targets)
 	case wire.FrameAlive:
 		alive, err := registry.DecodeAlive(frame.Payload)
 		if err != nil {
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -128,6 +128,10 @@
 	liveness   livenessTable
 	groupSize  groupSizeWatch
 
+	// remembered are the targets on this member's disk; none once it has been
+	// current.
+	remembered []directory.Target
+
 	output   Output
 	restored raft.Restored
 	batching bool
@@ -155,6 +159,7 @@
 		core.state = state
 		core.replica.Applied = restored.Snapshot.Index
 	}
+	core.remembered = rememberedTargets(restored)
 	if number := ownNumber(restored, settings.Raft.Identity); number != raft.NoMember {
 		core.begin(now, number)
 	}
--- a/internal/registry/core_test.go
+++ b/internal/registry/core_test.go
@@ -39,7 +39,9 @@
 	resets    int
 	outcomes  map[Ticket]Outcome
 	updates   []directory.Update
-	alive     Alive
+	// remembered are the targets that it told nodes from its disk.
+	remembered []directory.Target
+	alive      Alive
 }
 
 // flight is a frame under way.
@@ -171,6 +173,10 @@
 		update, err := directory.DecodeUpdate(frame.Payload)
 		require.NoError(c, err)
 		m.updates = append(m.updates, update)
+	case wire.FrameRemembered:
+		targets, err := directory.DecodeTargets(frame.Payload)
+		require.NoError(c, err)
+		m.remembered = append(m.remembered, targets...)
 	case wire.FrameAlive:
 		alive, err := DecodeAlive(frame.Payload)
 		require.NoError(c, err)
--- a/internal/registry/nodes.go
+++ b/internal/registry/nodes.go
@@ -41,6 +41,7 @@
 	c.nodes[connection] = &subscription{name: subscribe.Node, revision: subscribe.Revision, waitsSince: now.Add(-subscribe.Waited)}
 	c.log(eventlog.NodeSubscribed, "node", subscribe.Node, "zone", subscribe.Zone, "revision", subscribe.Revision)
 	c.update(now, connection, map[uint64][]byte{})
+	c.tellRemembered(now, connection)
 	c.tellAlive(now, connection)
 	return c.take()
 }
--- /dev/null
+++ b/internal/registry/remembered_test.go
@@ -0,0 +1,49 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+)
+
+func TestAMemberTellsAFreshNodeTheTargetsOnItsDiskAtOnce(t *testing.T) {
+	c := newTolerantCluster(t, 1, 3, 1)
+	leader := c.leader()
+	require.NoError(t, c.submit(leader, put("i-1", "10.1.1.1:1", directory.TargetReady)).Err)
+	require.NoError(t, c.submit(leader, put("i-2", "10.1.1.2:1", directory.TargetReady)).Err)
+	require.NoError(t, c.submit(leader, put("i-2", "10.1.1.2:1", directory.TargetEnded)).Err)
+	c.run(time.Second)
+	for _, name := range c.names() {
+		c.kill(name, true)
+	}
+	alone := c.names()[0]
+	c.start(alone)
+	m := c.machines[alone]
+	c.take(m, m.core.Open(c.now, 1, Subscribe{Node: "edge"}))
+	require.Len(t, m.remembered, 1, "one without a leader, and only what has not ended")
+	assert.Equal(t, "i-1", m.remembered[0].ID)
+	assert.Empty(t, m.updates)
+	c.take(m, m.core.Open(c.now, 2, Subscribe{Node: "other", Revision: 5}))
+	assert.Len(t, m.remembered, 1, "a node with state needs none")
+}
+
+func TestAMemberThatIsCurrentTellsWhatHolds(t *testing.T) {
+	c := newTolerantCluster(t, 1, 3, 1)
+	leader := c.leader()
+	require.NoError(t, c.submit(leader, put("i-1", "10.1.1.1:1", directory.TargetReady)).Err)
+	for _, name := range c.names() {
+		c.kill(name, true)
+	}
+	for _, name := range c.names() {
+		c.start(name)
+	}
+	leader = c.waitForLeader()
+	c.run(time.Second)
+	c.take(leader, leader.core.Open(c.now, 1, Subscribe{Node: "edge"}))
+	assert.Empty(t, leader.remembered)
+	assert.NotEmpty(t, leader.updates)
+}
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -62,6 +62,8 @@
 	suspected  bool
 	// lost is set while the control members hold the target for dead.
 	lost bool
+	// remembered is set while only a member's disk speaks for the target.
+	remembered bool
 	// reported is set while the target waits in the list of those that answered.
 	reported bool
 	// missed is the number of opening packets left unanswered since answeredAt.
@@ -178,6 +180,7 @@
 	if configuration.Version > c.configuration.Version {
 		c.setConfiguration(configuration)
 	}
+	c.dropRemembered(update.Targets)
 	for _, target := range update.Targets {
 		c.setTarget(now, target)
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -49,6 +49,9 @@
 	FrameEvidence
 	// FrameAlive tells a node that its member is up and whether it is current.
 	FrameAlive
+	// FrameRemembered holds the targets that a member's disk knows of before
+	// the member has learned what is committed.
+	FrameRemembered
 )
 
 // Frame is one message on a TCP connection.
--- /dev/null
+++ b/scripts/ablation/mechanisms.py
@@ -0,0 +1,39 @@
+"""The mechanisms that decide, and for each the edit that switches it off.
+
+An edit is a file, the text that stands in it once, and the text that takes its
+place. It is made on a copy of the repository, so no switch is in the product.
+"""
+
+CHOICE = "internal/steer/choice.go"
+PLACE = "internal/steer/place.go"
+WAITLIST = "internal/edge/waitlist.go"
+LIVENESS = "internal/registry/liveness.go"
+SETTINGS = "internal/registry/settings.go"
+MEMBERSHIP = "internal/registry/membership.go"
+ELECTION = "internal/raft/election.go"
+
+MECHANISMS = {
+    "none": [],
+    "own-zone": [(CHOICE, "farCost = 0.5", "farCost = 0.0")],
+    "fresh-targets": [(CHOICE, "freshCost = 0.5", "freshCost = 0.0")],
+    "waiting-flows": [(PLACE, "Waiting:   entry.waitingFlows,", "Waiting:   0,")],
+    "doubt": [(PLACE, "return missed || entry", "return missed && false || entry")],
+    "second-target": [(PLACE, "\t\ttried = flow.tried\n", "\t\ttried = nil\n")],
+    "waitlist": [(WAITLIST, "\tif !known {\n\t\tif len(", "\tif !known {\n\t\tif true || len(")],
+    "remembered-targets": [("internal/registry/nodes.go", "\tc.tellRemembered(now, connection)\n", "")],
+    "release-window": [(WAITLIST, "releaseWindow = 6", "releaseWindow = 1000")],
+    "suspicion": [(SETTINGS, "SuspectAfter:    3200 * time.Millisecond", "SuspectAfter:    3200 * time.Hour")],
+    "lost-verdict": [(LIVENESS, "if c.isLost(now, target, seen) {", "if false && c.isLost(now, target, seen) {")],
+    "questions": [(LIVENESS, "questionTime = 250 * time.Millisecond", "questionTime = 0 * time.Millisecond")],
+    "half-of-all": [(LIVENESS, "judgedShareDivisor = 2", "judgedShareDivisor = 1")],
+    "two-observers": [(LIVENESS, "silentNodesNeeded = 2", "silentNodesNeeded = 1")],
+    "pre-vote": [(SETTINGS, "UnboundRestart:  true,", "UnboundRestart:  true,\n\t\t\tMechanisms: raft.Mechanisms{NoPreVote: true},")],
+    "check-quorum": [(SETTINGS, "UnboundRestart:  true,", "UnboundRestart:  true,\n\t\t\tMechanisms: raft.Mechanisms{NoCheckQuorum: true},")],
+    "unbound-restart": [(SETTINGS, "UnboundRestart:  true,", "UnboundRestart:  false,")],
+    "pledge": [(ELECTION, " && n.pledge(now, message.From)\n\treply", "\n\treply")],
+    "voter-replacement": [(MEMBERSHIP, "return silent, silent != raft.NoMember", "return raft.NoMember, false")],
+    "overlapping-dials": [("internal/peerlink/dial.go", "dialStagger = 40 * time.Millisecond", "dialStagger = 200 * time.Millisecond")],
+    "update-pacing": [("internal/registry/nodes.go", "updatePause = 2 * time.Millisecond", "updatePause = 0 * time.Millisecond")],
+    "member-zones": [("internal/steer/memberlist.go", "\tif member.Zone == l.Zone {\n\t\treturn 0\n", "\tif true {\n\t\treturn 0\n")],
+    "heartbeats-at-nodes": [("internal/edge/subscriber.go", "Beats: s.process.settings.Beats", "Beats: \"\"")],
+}
