--- a/internal/lab/labcli/root.go
+++ b/internal/lab/labcli/root.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(fabricCommand(), faultsCommand(), targetCommand(), platformCommand(), callerCommand(), simCommand(), scaleCommand())
+	root.AddCommand(fabricCommand(), faultsCommand(), targetCommand(), platformCommand(), callerCommand(), simCommand())
 	return root
 }
 
