--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -11,20 +11,26 @@
 
 // metrics are the counters of a node's process.
 type metrics struct {
-	set         *hosting.Metrics
-	decisions   []prometheus.Counter
-	malformed   prometheus.Counter
-	waited      prometheus.Counter
-	overflow    prometheus.Counter
-	writeErrors prometheus.Counter
-	beatsTaken  prometheus.Counter
-	beatsLeft   prometheus.Counter
-	flows       prometheus.Gauge
-	revision    prometheus.Gauge
-	version     prometheus.Gauge
+	set       *hosting.Metrics
+	decisions []prometheus.Counter
+	malformed prometheus.Counter
+	waited    prometheus.Counter
+	// left counts the packets whose callers had left before the node was ready.
+	left         prometheus.Counter
+	remembered   prometheus.Counter
+	overflow     prometheus.Counter
+	writeErrors  prometheus.Counter
+	beatsTaken   prometheus.Counter
+	beatsLeft    prometheus.Counter
+	flows        prometheus.Gauge
+	waitingFlows prometheus.Gauge
+	revision     prometheus.Gauge
+	version      prometheus.Gauge
 	// stateAge is how long before a placement the node's member last said that
 	// it was current, in seconds.
 	stateAge prometheus.Histogram
+	// held is how long callers had waited when their packets were sent, in seconds.
+	held prometheus.Histogram
 	// applying is the time to put an update in force, in seconds.
 	applying prometheus.Histogram
 }
@@ -32,18 +38,22 @@
 func newMetrics() *metrics {
 	set := hosting.NewMetrics("edge")
 	m := &metrics{
-		set:         set,
-		malformed:   set.Counter("malformed_total", "datagrams that are no packets"),
-		waited:      set.Counter("waited_total", "packets that came before the node was ready"),
-		overflow:    set.Counter("overflow_total", "datagrams that found no room in the ring"),
-		writeErrors: set.Counter("write_errors_total", "datagrams that could not be sent"),
-		beatsTaken:  set.Counter("heartbeats_taken_total", "heartbeats of targets that were acknowledged"),
-		beatsLeft:   set.Counter("heartbeats_left_total", "heartbeats of targets that were left to a control member"),
-		flows:       set.Gauge("flows", "flows counted as open"),
-		revision:    set.Gauge("revision", "revision of the directory in force"),
-		version:     set.Gauge("configuration_version", "version of the configuration in force"),
-		stateAge:    set.Seconds("state_age_seconds", "age of the node's state when it placed a flow"),
-		applying:    set.Seconds("update_seconds", "time to put an update in force"),
+		set:          set,
+		malformed:    set.Counter("malformed_total", "datagrams that are no packets"),
+		waited:       set.Counter("waited_total", "packets that came before the node was ready"),
+		left:         set.Counter("waited_too_long_total", "packets whose callers had left before the node was ready"),
+		remembered:   set.Counter("remembered_targets_total", "targets taken from a member's disk before any member was current"),
+		overflow:     set.Counter("overflow_total", "datagrams that found no room in the ring"),
+		writeErrors:  set.Counter("write_errors_total", "datagrams that could not be sent"),
+		beatsTaken:   set.Counter("heartbeats_taken_total", "heartbeats of targets that were acknowledged"),
+		beatsLeft:    set.Counter("heartbeats_left_total", "heartbeats of targets that were left to a control member"),
+		flows:        set.Gauge("flows", "flows counted as open"),
+		waitingFlows: set.Gauge("waiting_flows", "flows whose callers wait for an answer"),
+		revision:     set.Gauge("revision", "revision of the directory in force"),
+		version:      set.Gauge("configuration_version", "version of the configuration in force"),
+		stateAge:     set.Seconds("state_age_seconds", "age of the node's state when it placed a flow"),
+		held:         set.Seconds("held_seconds", "time that callers had waited when packets kept for them were sent"),
+		applying:     set.Seconds("update_seconds", "time to put an update in force"),
 	}
 	decisions := set.CounterVec("packets_total", "packets by the reason of their decision", "reason")
 	for _, reason := range steer.Reasons() {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -249,6 +249,7 @@
 	if p.ticks%reportsPerSweep == 0 {
 		p.core.Tick(now)
 		p.metrics.flows.Set(float64(p.core.Flows()))
+		p.metrics.waitingFlows.Set(float64(p.core.WaitingFlows()))
 	}
 }
 
@@ -324,7 +325,7 @@
 	p.logger.Sampled(event, "caller", packet.Flow.Caller, "virtual", packet.Flow.Virtual,
 		"reason", decision.Reason, "route", decision.Route, "copy", packet.Copy, "token", packet.Token,
 		"target", decision.Target.ID, "target_token", decision.Target.Token,
-		"candidates", decision.Candidates, "doubtful", decision.Doubtful,
+		"candidates", decision.Candidates, "waiting", decision.Waiting, "doubtful", decision.Doubtful,
 		"version", p.core.Version(), "revision", p.core.Revision(), "state_age", age)
 }
 
@@ -402,12 +403,14 @@
 type releaseInput struct{ more chan bool }
 
 func (i releaseInput) handle(p *Process, now kernel.Instant) {
+	p.metrics.left.Add(float64(p.waiting.clean(now, p.patience)))
 	for p.core.WaitingFlows() < releaseWindow {
-		datagram, more := p.waiting.take(now, p.core.CanDecide, p.patience)
+		kept, more := p.waiting.take(now, p.core.CanDecide)
 		if !more {
 			break
 		}
-		p.handleDatagram(now, datagram)
+		p.metrics.held.Observe(now.Sub(kept.since).Seconds())
+		p.decide(now, kept.packet, kept.datagram)
 	}
 	p.releasing = !p.waiting.isEmpty()
 	i.more <- p.releasing
@@ -427,6 +430,7 @@
 
 func (i rememberedInput) handle(p *Process, now kernel.Instant) {
 	known := p.core.Remember(now, i.targets)
+	p.metrics.remembered.Add(float64(known))
 	p.logger.Event(eventlog.TargetsRemembered, "targets", len(i.targets), "taken", known, "waiting", len(p.waiting.packets))
 	p.startRelease()
 }
--- a/internal/edge/waitlist.go
+++ b/internal/edge/waitlist.go
@@ -82,14 +82,13 @@
 	return copyAges[min(int(packet.Copy), len(copyAges)-1)]
 }
 
-// drop forgets the packet of a flow: a newer one has come.
+// drop forgets the packet of a flow: a newer one has come. It stays in the
+// order until clean.
 func (w *waitlist) drop(flow steer.FlowKey) { delete(w.packets, flow) }
 
 // take returns the packet that is worth most of those that can be sent: the
-// newest, as long as its answer can be prompt; else the oldest whose caller is
-// still there. Patience tells how long a flow's caller waits.
-func (w *waitlist) take(now kernel.Instant, canSend func(steer.Packet) bool, patience func(steer.FlowKey) time.Duration) ([]byte, bool) {
-	w.clean(now, patience)
+// newest, as long as its answer can be prompt; else the oldest.
+func (w *waitlist) take(now kernel.Instant, canSend func(steer.Packet) bool) (*waitingPacket, bool) {
 	position := w.best(now, canSend)
 	if position < 0 {
 		return nil, false
@@ -97,32 +96,42 @@
 	taken := w.order[position]
 	w.order = slices.Delete(w.order, position, position+1)
 	delete(w.packets, taken.packet.Flow)
-	return taken.datagram, true
+	return taken, true
 }
 
-// clean forgets the packets that were dropped and those whose callers have left.
-func (w *waitlist) clean(now kernel.Instant, patience func(steer.FlowKey) time.Duration) {
+// clean forgets the packets that were dropped and those whose callers have left,
+// and returns the number of the latter. Patience tells how long a flow's caller
+// waits.
+func (w *waitlist) clean(now kernel.Instant, patience func(steer.FlowKey) time.Duration) int {
+	left := 0
 	w.order = slices.DeleteFunc(w.order, func(kept *waitingPacket) bool {
 		flow := kept.packet.Flow
-		if w.packets[flow] != kept {
+		if !w.isWaiting(kept) {
 			return true
 		}
-		left := now.Sub(kept.since) >= patience(flow)
-		if left {
-			delete(w.packets, flow)
+		if now.Sub(kept.since) < patience(flow) {
+			return false
 		}
-		return left
+		left++
+		delete(w.packets, flow)
+		return true
 	})
+	return left
 }
 
 // best returns the position of the packet that is worth most, or -1.
 func (w *waitlist) best(now kernel.Instant, canSend func(steer.Packet) bool) int {
 	for position := len(w.order) - 1; position >= 0 && now.Sub(w.order[position].since) < promptAge; position-- {
-		if canSend(w.order[position].packet) {
+		if w.isWaiting(w.order[position]) && canSend(w.order[position].packet) {
 			return position
 		}
 	}
-	return slices.IndexFunc(w.order, func(kept *waitingPacket) bool { return canSend(kept.packet) })
+	return slices.IndexFunc(w.order, func(kept *waitingPacket) bool {
+		return w.isWaiting(kept) && canSend(kept.packet)
+	})
 }
 
+// isWaiting reports whether a packet of the order was not dropped.
+func (w *waitlist) isWaiting(kept *waitingPacket) bool { return w.packets[kept.packet.Flow] == kept }
+
 func (w *waitlist) isEmpty() bool { return len(w.packets) == 0 }
--- a/internal/edge/waitlist_test.go
+++ b/internal/edge/waitlist_test.go
@@ -24,12 +24,13 @@
 // takeAll returns what the list gives, in order.
 func takeAll(w *waitlist, now kernel.Instant) []string {
 	var list []string
+	w.clean(now, forASecond)
 	for {
-		datagram, more := w.take(now, always, forASecond)
+		kept, more := w.take(now, always)
 		if !more {
 			return list
 		}
-		list = append(list, string(datagram))
+		list = append(list, string(kept.datagram))
 	}
 }
 
@@ -56,6 +57,7 @@
 		port++
 		w.add(now.Add(-age*time.Millisecond), packet(port), []byte(name))
 	}
+	assert.Equal(t, 1, w.clean(now, forASecond), "one caller has left")
 	assert.Equal(t, []string{"new", "prompt", "old", "late"}, takeAll(w, now))
 	assert.True(t, w.isEmpty())
 }
@@ -80,6 +82,12 @@
 	w.add(now, packet(1), []byte("one"))
 	w.add(now, packet(2), []byte("two"))
 	w.drop(flow(1))
+	kept, more := w.take(now, always)
+	assert.True(t, more)
+	assert.Equal(t, "two", string(kept.datagram))
+	_, more = w.take(now, always)
+	assert.False(t, more)
+	w.add(now, packet(2), []byte("two"))
 	assert.Equal(t, []string{"two"}, takeAll(w, now))
 }
 
@@ -101,10 +109,10 @@
 	w.add(now, newFlow, []byte("new flow"))
 	w.add(now, packet(2), []byte("open flow"))
 	isOpen := func(packet steer.Packet) bool { return !packet.Opening }
-	datagram, more := w.take(now, isOpen, forASecond)
+	kept, more := w.take(now, isOpen)
 	assert.True(t, more)
-	assert.Equal(t, "open flow", string(datagram))
-	_, more = w.take(now, isOpen, forASecond)
+	assert.Equal(t, "open flow", string(kept.datagram))
+	_, more = w.take(now, isOpen)
 	assert.False(t, more)
 	assert.Equal(t, []string{"new flow"}, takeAll(w, now))
 }
--- a/internal/steer/packet.go
+++ b/internal/steer/packet.go
@@ -111,6 +111,9 @@
 	Route string
 	// Candidates is the number of targets that the choice was made from.
 	Candidates int
+	// Waiting is the number of flows of the chosen target at this node whose
+	// callers waited for an answer when the choice was made.
+	Waiting int
 	// Doubtful is the number of candidates passed over for lack of answers.
 	Doubtful int
 }
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -76,6 +76,7 @@
 			Action:     ActionForward,
 			Target:     chosen.target,
 			Candidates: len(c.usable),
+			Waiting:    chosen.waitingFlows,
 			Doubtful:   doubtful,
 		}, chosen
 	}
