A member that becomes current sends first states to its nodes at once

Cause: updates are paced by 2 ms a node and looked at each tick; on the grown site half of the nodes were ready 100 ms after the leader stood, the last 240 ms. Change: the pause ends when a member becomes current.

--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -124,6 +124,8 @@
 	nodes     map[ConnectionID]*subscription
 	// nextSpread is when nodes may get the next updates.
 	nextSpread kernel.Instant
+	// wasCurrent is whether this member was current when nodes were last told.
+	wasCurrent bool
 	members    membershipKeeper
 	liveness   livenessTable
 	groupSize  groupSizeWatch
@@ -280,6 +282,9 @@
 	}
 	c.flush(now)
 	c.deliver(now)
+	if c.becameCurrent(now) {
+		c.tickNodes(now)
+	}
 	return c.take()
 }
 
--- a/internal/registry/nodes.go
+++ b/internal/registry/nodes.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// becameCurrent reports whether this member has become current since the last
+// call. Nodes without state wait for nothing else, so their update is due then.
+func (c *Core) becameCurrent(now kernel.Instant) bool {
+	current := c.IsCurrent(now)
+	became := current && !c.wasCurrent
+	c.wasCurrent = current
+	if became {
+		c.nextSpread = now
+	}
+	return became
+}
+
 // update sends a node what it lacks. A node that knows more than this member
 // hears nothing until the member has caught up: state never goes back. A node
 // without state is not given that of a member that may be behind, unless it
@@ -96,6 +108,7 @@
 
 // tickNodes sends signs of life, at once when what they say has changed.
 func (c *Core) tickNodes(now kernel.Instant) {
+	c.becameCurrent(now)
 	c.spread(now)
 	for _, connection := range c.orderedNodes() {
 		c.tellAlive(now, connection)
--- a/scripts/ablation/run.py
+++ b/scripts/ablation/run.py
@@ -22,6 +22,11 @@
 from mechanisms import MECHANISMS
 
 
+def key_of(name, site, day, seed):
+    """Returns the key of a play's result."""
+    return f"{name}/{pathlib.Path(site).stem}/{pathlib.Path(day).stem}/{seed}"
+
+
 def parse_play(text):
     """Returns (site, day, seeds) of SITE:DAY:SEED,SEED."""
     site, day, seeds = text.rsplit(":", 2)
@@ -43,7 +48,7 @@
 
 def play(bench, folder, site, day, seed, name):
     """Plays one day and returns its worth and the rules that broke."""
-    report = folder / f"report-{pathlib.Path(site).stem}-{day}-{seed}.json"
+    report = folder / f"report-{key_of(name, site, day, seed).replace('/', '-')}.json"
     command = [bench, "run", site, day, "--seed", str(seed), "--jobs", "1", "--report", str(report),
                "--why", f"trial: ablation, without {name}"]
     ended = subprocess.run(command, cwd=folder, capture_output=True, text=True)
@@ -88,7 +93,7 @@
     plays = [parse_play(text) for text in options.plays]
     for name in options.only.split(","):
         wanted = [(site, day, seed) for site, day, seeds in plays for seed in seeds
-                  if f"{name}/{pathlib.Path(site).stem}/{day}/{seed}" not in results]
+                  if key_of(name, site, day, seed) not in results]
         if not wanted:
             continue
         folder = out / name
@@ -97,7 +102,7 @@
         with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
             ends = pool.map(lambda one: (one, play(bench, folder, *one, name)), wanted)
             for (site, day, seed), result in ends:
-                results[f"{name}/{pathlib.Path(site).stem}/{day}/{seed}"] = result
+                results[key_of(name, site, day, seed)] = result
                 store.write_text(json.dumps(results, indent=1))
         (out / "table.md").write_text(table(results, plays))
         print(f"{name}: done", flush=True)
