Seeds refer nodes that know no other member to the members of their zones

Cause: after a loss of all power 291 nodes know three seeds and come to them within 50 ms. Ruled out: the disks (5 ms a sync) and the start of the processes (50 ms).

Change: a member answers a node of another zone that knows only seeds with the list of members, from the goroutine of its connection; the core hears nothing of it. A member without a place in the group says so and is left at once. Nodes go home from far members at random moments.

--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -114,6 +114,9 @@
 	return member, known
 }
 
+// MemberRevision returns the log position at which the members last changed.
+func (s *State) MemberRevision() uint64 { return s.memberRevision }
+
 // MemberByIdentity returns the control member with a data folder's identity.
 func (s *State) MemberByIdentity(identity uint64) (Member, bool) {
 	for _, member := range s.Members() {
--- a/internal/edge/subscriber.go
+++ b/internal/edge/subscriber.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -30,12 +31,23 @@
 	// retryPause is the wait between two attempts to reach a member.
 	retryPause = 40 * time.Millisecond
 	// FarLimit is how long the node stays with a member of another zone
-	// before it tries one of its own zone again.
+	// before it tries one of its own zone again that it has left for a fault.
 	FarLimit = 8 * time.Second
+	// farSpread is the time over which the nodes of a fleet go to members of their
+	// own zones: hundreds at once would hold up those members. A fleet that has
+	// just been founded registers its targets in its first seconds, and each
+	// registration goes to each node, so a longer time costs bytes between zones.
+	farSpread = time.Second
 )
 
 // errNearer ends the stream of a far member.
-var errNearer = errors.New("a member of the own zone is tried again")
+var errNearer = errors.New("a member of the own zone is tried")
+
+// errReferred ends the stream of a seed that names the group's members.
+var errReferred = errors.New("the member names others")
+
+// errEmpty ends the stream of a member that knows nothing.
+var errEmpty = errors.New("the member has no place in the group")
 
 // subscriber follows one control member at a time. One goroutine owns it but
 // for the seeds.
@@ -46,6 +58,9 @@
 	list     *steer.MemberList
 	suspects []directory.Token
 	lost     []directory.Token
+	// emptyMet is the number of signs of life from members that know nothing since
+	// the last one from a member that was current.
+	emptyMet int
 
 	// following is the address of the member that is followed, or "".
 	following atomic.Pointer[string]
@@ -93,7 +108,9 @@
 		if connection == nil {
 			return
 		}
-		s.follow(connection, member)
+		if errors.Is(s.follow(connection, member), errReferred) {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryPause):
@@ -124,13 +141,13 @@
 	return connection, tried[address]
 }
 
-// follow takes updates from a member until it is silent or not current.
-func (s *subscriber) follow(connection net.Conn, member directory.Member) {
+// follow takes updates from a member until it is silent or not current, and
+// returns why it ended.
+func (s *subscriber) follow(connection net.Conn, member directory.Member) error {
 	defer func() { _ = connection.Close() }()
-	subscribe := registry.Subscribe{Node: s.process.settings.Name, Zone: s.process.settings.Zone, Revision: s.revision, Waited: time.Since(s.process.started), Beats: s.process.settings.Beats}
-	if err := peerlink.Write(connection, wire.AppendFrame(nil, subscribe.Frame())); err != nil {
+	if err := peerlink.Write(connection, wire.AppendFrame(nil, s.subscription().Frame())); err != nil {
 		s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
-		return
+		return err
 	}
 	s.process.logger.Sampled(eventlog.ControlConnected, "address", member.Address, "zone", member.Zone, "revision", s.revision)
 	s.following.Store(&member.Address)
@@ -142,12 +159,25 @@
 		s.list.ClearFaults()
 	}
 	s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
+	return err
+}
+
+// subscription returns what the node asks a member for.
+func (s *subscriber) subscription() registry.Subscribe {
+	return registry.Subscribe{
+		Node:      s.process.settings.Name,
+		Zone:      s.process.settings.Zone,
+		Revision:  s.revision,
+		Waited:    time.Since(s.process.started),
+		Beats:     s.process.settings.Beats,
+		Referable: len(s.list.Members) == 0,
+	}
 }
 
 func (s *subscriber) read(connection net.Conn, member directory.Member) error {
 	reader := bufio.NewReader(peerlink.NewReader(connection, SilenceLimit))
-	opened := time.Now()
-	currentAt := opened
+	currentAt := time.Now()
+	var leaveAt time.Time
 	for {
 		frame, err := wire.ReadFrame(reader)
 		if err != nil {
@@ -160,16 +190,44 @@
 			err = s.receiveRemembered(frame.Payload)
 		case wire.FrameAlive:
 			currentAt, err = s.receiveAlive(frame.Payload, currentAt)
+		case wire.FrameReferral:
+			err = s.receiveReferral(frame.Payload)
 		}
 		if err != nil {
 			return err
 		}
-		if s.list.IsFar(member) && time.Since(opened) > FarLimit {
+		if !s.list.IsFar(member) {
+			continue
+		}
+		if leaveAt.IsZero() {
+			leaveAt = time.Now().Add(s.farTime())
+		}
+		if time.Now().After(leaveAt) {
 			return steperror.Wrap("edge.follow", member.Address, errNearer)
 		}
 	}
 }
 
+// farTime returns how long the node stays with a far member: not long when a
+// member of its own zone has not been tried yet.
+func (s *subscriber) farTime() time.Duration {
+	spread := rand.N(farSpread)
+	if s.list.HasUntriedNear() {
+		return spread
+	}
+	return FarLimit + spread
+}
+
+// receiveReferral takes the members that a seed names.
+func (s *subscriber) receiveReferral(payload []byte) error {
+	referral, err := registry.DecodeReferral(payload)
+	if err != nil {
+		return err
+	}
+	s.list.Members = referral.Members
+	return steperror.Wrap("edge.follow", "", errReferred)
+}
+
 // receiveRemembered takes the targets that a member knows of before it knows
 // more.
 func (s *subscriber) receiveRemembered(payload []byte) error {
@@ -212,6 +270,9 @@
 		return currentAt, err
 	}
 	if !alive.Current {
+		if s.leavesEmpty(alive) {
+			return currentAt, steperror.Wrap("edge.follow", "", errEmpty)
+		}
 		if time.Since(currentAt) > NotCurrentLimit {
 			return currentAt, steperror.New("edge.follow", "", "the member is not current")
 		}
@@ -224,9 +285,20 @@
 	}
 	now := time.Now()
 	s.currentAt.Store(&now)
+	s.emptyMet = 0
 	return now, nil
 }
 
+// leavesEmpty reports whether a member that knows nothing is left at once. Once
+// all were found to know nothing, the group is being founded, and the node waits.
+func (s *subscriber) leavesEmpty(alive registry.Alive) bool {
+	if !alive.Empty || s.revision > 0 {
+		return false
+	}
+	s.emptyMet++
+	return s.emptyMet < s.list.Len()
+}
+
 // followed returns the address of the member that is followed, or "".
 func (s *subscriber) followed() string {
 	if address := s.following.Load(); address != nil {
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -133,6 +133,8 @@
 	// remembered are the targets on this member's disk; none once it has been
 	// current.
 	remembered []directory.Target
+	// rememberedMembers are the members on this member's disk.
+	rememberedMembers []directory.Member
 
 	output   Output
 	restored raft.Restored
@@ -161,7 +163,9 @@
 		core.state = state
 		core.replica.Applied = restored.Snapshot.Index
 	}
-	core.remembered = rememberedTargets(restored)
+	onDisk := rememberedState(restored)
+	core.remembered = rememberedTargets(onDisk)
+	core.rememberedMembers = onDisk.Members()
 	if number := ownNumber(restored, settings.Raft.Identity); number != raft.NoMember {
 		core.begin(now, number)
 	}
--- a/internal/registry/inputs.go
+++ b/internal/registry/inputs.go
@@ -49,6 +49,13 @@
 		i.queue.Close()
 		return Output{}
 	}
+	// The node came before this member had read its disk.
+	if table := p.referrals.Load(); table.sendsOn(i.subscribe) {
+		p.metrics.referrals.Inc()
+		i.queue.TryPush(table.frame)
+		i.queue.Close()
+		return Output{}
+	}
 	p.nodes[i.connection] = i.queue
 	p.spread.Add(uint64(i.connection), i.subscribe.Zone, i.subscribe.Beats)
 	return p.core.Open(now, i.connection, i.subscribe)
--- a/internal/registry/messages.go
+++ b/internal/registry/messages.go
@@ -119,6 +119,9 @@
 	Waited time.Duration
 	// Beats is the address at which the node takes heartbeats of targets, or "".
 	Beats string
+	// Referable is set while the node knows no member but the seeds: it can be
+	// sent on to a nearer one.
+	Referable bool
 }
 
 // Frame returns the frame of a subscription.
@@ -129,6 +132,7 @@
 	encoder.Uint64(s.Revision)
 	encoder.Uint64(uint64(s.Waited))
 	encoder.String(s.Beats)
+	encoder.Bool(s.Referable)
 	return wire.Frame{Kind: wire.FrameSubscribe, Payload: encoder.Buffer}
 }
 
@@ -138,6 +142,7 @@
 	subscribe := Subscribe{Node: decoder.String(), Zone: decoder.String(), Revision: decoder.Uint64()}
 	subscribe.Waited = time.Duration(decoder.Uint64())
 	subscribe.Beats = decoder.String()
+	subscribe.Referable = decoder.Bool()
 	return subscribe, decoder.Err("registry.decode_subscribe")
 }
 
@@ -145,6 +150,9 @@
 type Alive struct {
 	// Current is set while the member hears from a leader with a quorum.
 	Current bool
+	// Empty is set while the member has no place in the group: its disk is new, and
+	// it knows nothing until the group has taken it in.
+	Empty bool
 	// Suspects are the targets that no member has heard from lately.
 	Suspects []directory.Token
 	// Lost are the targets that are held for dead.
@@ -158,6 +166,7 @@
 func (a Alive) Frame() wire.Frame {
 	var encoder wire.Encoder
 	encoder.Bool(a.Current)
+	encoder.Bool(a.Empty)
 	encodeTokens(&encoder, a.Suspects)
 	encodeTokens(&encoder, a.Lost)
 	return wire.Frame{Kind: wire.FrameAlive, Payload: encoder.Buffer}
@@ -166,7 +175,7 @@
 // DecodeAlive reads the message.
 func DecodeAlive(payload []byte) (Alive, error) {
 	decoder := wire.NewDecoder(payload)
-	alive := Alive{Current: decoder.Bool(), Suspects: decodeTokens(decoder), Lost: decodeTokens(decoder)}
+	alive := Alive{Current: decoder.Bool(), Empty: decoder.Bool(), Suspects: decodeTokens(decoder), Lost: decodeTokens(decoder)}
 	return alive, decoder.Err("registry.decode_alive")
 }
 
--- a/internal/registry/metrics.go
+++ b/internal/registry/metrics.go
@@ -30,6 +30,8 @@
 	requests prometheus.Histogram
 	// saves is the time that the disk takes to make a batch last, in seconds.
 	saves prometheus.Histogram
+	// referrals counts the nodes that were sent on to another member.
+	referrals prometheus.Counter
 	// leaderless is the time without a known leader, in seconds.
 	leaderless prometheus.Counter
 }
@@ -50,6 +52,7 @@
 		votersMissing: set.Gauge("voters_missing", "voters that the stated tolerance needs and the group has not"),
 		requests:      set.Seconds("request_seconds", "time from a call to its outcome"),
 		saves:         set.Seconds("save_seconds", "time of the disk to make a batch last"),
+		referrals:     set.Counter("referrals_total", "nodes that were sent on to another member"),
 		leaderless:    set.Counter("leaderless_seconds_total", "time without a known leader"),
 	}
 }
--- a/internal/registry/nodes.go
+++ b/internal/registry/nodes.go
@@ -131,6 +131,7 @@
 	node.verdicts = judged
 	alive := Alive{
 		Current:  current && c.state.Revision() >= node.revision,
+		Empty:    c.replica.Node == nil,
 		Suspects: judged.Suspects,
 		Lost:     judged.Lost,
 	}
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -61,6 +61,10 @@
 	spread   *heartbeat.Spread
 	// beatsAt is the revision that the cache of heartbeats has followed.
 	beatsAt uint64
+	// referredAt is the revision of the members that the referral table was made
+	// from; the goroutines of connections share the table.
+	referredAt uint64
+	referrals  atomic.Pointer[referralTable]
 
 	// tickedAt is when the ticker last ran, in nanoseconds since the start.
 	tickedAt atomic.Int64
@@ -184,6 +188,7 @@
 	}
 	if p.core != nil {
 		p.followBeats(p.core.State())
+		p.followMembers(p.core)
 	}
 }
 
@@ -214,6 +219,7 @@
 	}
 	p.core = core
 	p.disk = disk
+	p.followMembers(core)
 	for connection := range p.nodes {
 		p.dropNode(connection)
 	}
--- /dev/null
+++ b/internal/registry/referral.go
@@ -0,0 +1,72 @@
+package registry
+
+import (
+	"slices"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+// Referral names the members of the group to a node that knows only seeds.
+// After a restart of all, hundreds of nodes come to three seeds at once: what a
+// seed spends on each of them, it lacks for the election that they wait for.
+type Referral struct {
+	Members []directory.Member
+}
+
+// Frame returns the frame of a referral.
+func (r Referral) Frame() wire.Frame {
+	var encoder wire.Encoder
+	directory.EncodeMembers(&encoder, r.Members)
+	return wire.Frame{Kind: wire.FrameReferral, Payload: encoder.Buffer}
+}
+
+// DecodeReferral reads a referral.
+func DecodeReferral(payload []byte) (Referral, error) {
+	decoder := wire.NewDecoder(payload)
+	referral := Referral{Members: directory.DecodeMembers(decoder)}
+	return referral, decoder.Err("registry.decode_referral")
+}
+
+// referralTable decides which nodes are sent on. It does not change once made,
+// so that the goroutines of connections may share it.
+type referralTable struct {
+	zone  string
+	frame wire.Frame
+}
+
+// newReferralTable returns the table of a member in a zone, or nil when it
+// knows no other member.
+func newReferralTable(address, zone string, members []directory.Member) *referralTable {
+	other := func(member directory.Member) bool { return member.Address != address }
+	if !slices.ContainsFunc(members, other) {
+		return nil
+	}
+	return &referralTable{zone: zone, frame: Referral{Members: members}.Frame()}
+}
+
+// sendsOn reports whether a node goes to another member: one of its own zone, or
+// any when its zone has none, so that the seeds do not bear them all.
+func (t *referralTable) sendsOn(subscribe Subscribe) bool {
+	return t != nil && subscribe.Referable && subscribe.Zone != t.zone
+}
+
+// referralMembers returns the members that nodes are told of: those of the
+// replicated state or, before this member has learned what is committed, those
+// on its disk. One that has gone costs a node an attempt to connect.
+func (c *Core) referralMembers() []directory.Member {
+	if members := c.state.Members(); len(members) >= len(c.rememberedMembers) {
+		return members
+	}
+	return c.rememberedMembers
+}
+
+// followMembers makes the table anew when the members have changed.
+func (p *Process) followMembers(core *Core) {
+	revision := core.state.MemberRevision()
+	if revision == p.referredAt && p.referrals.Load() != nil {
+		return
+	}
+	p.referredAt = revision
+	p.referrals.Store(newReferralTable(p.settings.Core.Address, p.settings.Core.Zone, core.referralMembers()))
+}
--- /dev/null
+++ b/internal/registry/referral_test.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+var referred = []directory.Member{
+	{ID: 1, Address: "10.0.0.1:7000", Zone: "south"},
+	{ID: 2, Address: "10.0.0.2:7000", Zone: "north"},
+}
+
+func TestNodesThatKnowOnlySeedsAreSentOn(t *testing.T) {
+	cases := []struct {
+		name      string
+		members   []directory.Member
+		subscribe Subscribe
+		sent      bool
+	}{
+		{"another zone", referred, Subscribe{Zone: "north", Referable: true}, true},
+		{"a zone without members", referred, Subscribe{Zone: "west", Referable: true}, true},
+		{"the own zone", referred, Subscribe{Zone: "south", Referable: true}, false},
+		{"knows the members", referred, Subscribe{Zone: "north"}, false},
+		{"no other member is known", referred[:1], Subscribe{Zone: "north", Referable: true}, false},
+		{"nothing is known", nil, Subscribe{Zone: "north", Referable: true}, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			table := newReferralTable(referred[0].Address, "south", test.members)
+			assert.Equal(t, test.sent, table.sendsOn(test.subscribe))
+		})
+	}
+}
+
+// The goroutine of the connection refers a node alone: the core, which has an
+// election to hold, hears nothing of it.
+func TestAReferralCostsTheCoreNothing(t *testing.T) {
+	process := NewProcess(Settings{Name: "core-1"}, eventlog.Discard())
+	process.referrals.Store(newReferralTable(referred[0].Address, "south", referred))
+	near, far := net.Pipe()
+	go process.serve(far)
+	require.NoError(t, near.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err := near.Write(wire.AppendFrame(nil, Subscribe{Node: "edge-1", Zone: "north", Referable: true}.Frame()))
+	require.NoError(t, err)
+	reader := bufio.NewReader(near)
+	frame, err := wire.ReadFrame(reader)
+	require.NoError(t, err)
+	require.Equal(t, wire.FrameReferral, frame.Kind)
+	referral, err := DecodeReferral(frame.Payload)
+	require.NoError(t, err)
+	assert.Equal(t, referred, referral.Members)
+	_, err = wire.ReadFrame(reader)
+	assert.Error(t, err, "the connection is closed")
+	assert.Zero(t, process.inputs.Discard())
+}
+
+// Members that joined after the last snapshot stand only in entries that are
+// not known to be committed when a member has just started.
+func TestAMemberThatHasJustStartedRefersToAllMembersOnItsDisk(t *testing.T) {
+	c := newTolerantCluster(t, 1, 5, 2)
+	c.waitForLeader()
+	for _, name := range c.names() {
+		c.kill(name, true)
+	}
+	for _, name := range c.names() {
+		c.start(name)
+	}
+	for _, name := range c.names() {
+		assert.Len(t, c.machines[name].core.referralMembers(), 5, name)
+	}
+}
--- a/internal/registry/remembered.go
+++ b/internal/registry/remembered.go
@@ -10,16 +10,13 @@
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
-// rememberedTargets returns the targets that have not ended by what a disk
-// holds, committed or not. Whether an entry is committed decides if a target
-// takes new flows, but not where the packets of its open flows go: its name and
-// address never change, nor does its token where that follows from the name.
-func rememberedTargets(restored raft.Restored) []directory.Target {
+// rememberedState returns the state by all that a disk holds, committed or not.
+func rememberedState(restored raft.Restored) *directory.State {
 	state := directory.New()
 	if restored.Snapshot.Index > 0 {
 		decoded, err := directory.Decode(restored.Snapshot.Data)
 		if err != nil {
-			return nil
+			return directory.New()
 		}
 		state = decoded
 	}
@@ -31,6 +28,14 @@
 			state.Apply(entry.Index, command)
 		}
 	}
+	return state
+}
+
+// rememberedTargets returns the targets that have not ended by what a disk
+// holds, committed or not. Whether an entry is committed decides if a target
+// takes new flows, but not where the packets of its open flows go: its name and
+// address never change, nor does its token where that follows from the name.
+func rememberedTargets(state *directory.State) []directory.Target {
 	var targets []directory.Target
 	state.EachTarget(func(target *directory.Target) {
 		if target.State != directory.TargetEnded && target.HasOwnToken() {
--- a/internal/registry/streams.go
+++ b/internal/registry/streams.go
@@ -57,6 +57,10 @@
 		p.logger.Event(eventlog.BadFrame, "peer", connection.RemoteAddr(), "err", err)
 		return
 	}
+	if table := p.referrals.Load(); table.sendsOn(subscribe) {
+		p.refer(connection, subscribe, table)
+		return
+	}
 	p.mutex.Lock()
 	p.nextConn++
 	id := p.nextConn
@@ -74,6 +78,14 @@
 	p.inputs.Push(nodeClosed{connection: id})
 }
 
+// refer sends a node on to another member. The core has no part in it.
+func (p *Process) refer(connection net.Conn, subscribe Subscribe, table *referralTable) {
+	p.metrics.referrals.Inc()
+	if err := peerlink.Write(connection, wire.AppendFrame(nil, table.frame)); err != nil {
+		p.logger.Sampled(eventlog.BadFrame, "node", subscribe.Node, "peer", connection.RemoteAddr(), "err", err)
+	}
+}
+
 // receiveEvidence takes what a node has seen of targets. It may be dropped
 // under load: the next report says the same.
 func (p *Process) receiveEvidence(connection ConnectionID, frame wire.Frame) {
--- a/internal/steer/memberlist.go
+++ b/internal/steer/memberlist.go
@@ -105,6 +105,18 @@
 	l.faults = kept
 }
 
+// Len returns the number of members and of seeds that are not among them.
+func (l *MemberList) Len() int { return len(l.Members) + len(l.unknownSeeds()) }
+
+// HasUntriedNear reports whether a member of the own zone was never left for a
+// fault.
+func (l *MemberList) HasUntriedNear() bool {
+	return slices.ContainsFunc(l.Members, func(member directory.Member) bool {
+		_, left := l.faults[member.Address]
+		return member.Zone == l.Zone && !left
+	})
+}
+
 func (l *MemberList) distance(member directory.Member) int {
 	if member.Zone == l.Zone {
 		return 0
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -52,6 +52,8 @@
 	// FrameRemembered holds the targets that a member's disk knows of before
 	// the member has learned what is committed.
 	FrameRemembered
+	// FrameReferral sends a node that knows only seeds on to other members.
+	FrameReferral
 )
 
 // Frame is one message on a TCP connection.
