Targets send their heartbeats to members of their own zones

Cause: bytes between zones. A busy member names nodes, but it knows those of its own zone.

Change: a member names a member of the target's zone for its later heartbeats.

TestTargetsOfOtherZonesGoToMembersOfTheirOwn, TestATargetThatComesBack... cannot pass without it.

--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -88,6 +88,19 @@
 	handle(p *Process, now kernel.Instant)
 }
 
+// leaveTime is how long a node forwards after it was told to stop: routers look at
+// a node twice a second and leave it out after two misses.
+const leaveTime = 2200 * time.Millisecond
+
+// LeaveTimeWithin returns how long a node forwards that is killed some time after
+// it was told to stop; 0 means that it is not killed.
+func LeaveTimeWithin(grace time.Duration) time.Duration {
+	if grace <= 0 {
+		return leaveTime
+	}
+	return min(leaveTime, grace/2)
+}
+
 // NewProcess prepares a node. Nothing listens yet.
 func NewProcess(settings Settings, logger *eventlog.Logger) *Process {
 	settings.Core.Zone = settings.Zone
--- a/internal/heartbeat/heartbeat_test.go
+++ b/internal/heartbeat/heartbeat_test.go
@@ -71,3 +71,35 @@
 	spread.Remove(1)
 	assert.Empty(t, spread.Choose("north", "i-1"))
 }
+
+// Nearly all bytes between the zones of swancoast-geo-large were heartbeats of
+// targets to members of other zones (sweep at 300 machines: 0.074 GB in 42 s).
+func TestTargetsOfOtherZonesGoToMembersOfTheirOwn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spread := NewSpread(WithZone("north"), WithClock(func() time.Time { return now }))
+	assert.Empty(t, spread.Choose("south", "i-0"), "no member is known")
+	spread.SetHomes(map[string][]string{"north": {"m1"}, "south": {"m2", "m3"}})
+	assert.Empty(t, spread.Choose("north", "i-1"), "it is at home")
+	assert.Empty(t, spread.Choose("west", "i-1"), "its zone has no member")
+	named := map[string]bool{}
+	for number := range 20 {
+		named[spread.Choose("south", fmt.Sprint("i-", number))] = true
+	}
+	assert.Equal(t, map[string]bool{"m2": true, "m3": true}, named)
+}
+
+// A member that has died, or is cut off from its zone, answers no heartbeat: its
+// targets come back and are kept.
+func TestATargetThatComesBackFromItsZoneIsKept(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spread := NewSpread(WithZone("north"), WithClock(func() time.Time { return now }))
+	spread.SetHomes(map[string][]string{"south": {"m2"}})
+	assert.Equal(t, "m2", spread.Choose("south", "i-1"))
+	kept := now
+	for ; now.Sub(kept) < returnTime-time.Second; now = now.Add(time.Second) {
+		assert.Empty(t, spread.Choose("south", "i-1"), "after %v", now.Sub(kept))
+	}
+	now = kept.Add(2*returnTime + time.Second)
+	assert.Empty(t, spread.Choose("west", "i-9"))
+	assert.Equal(t, "m2", spread.Choose("south", "i-1"), "it is tried again")
+}
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -40,6 +40,9 @@
 	Core       CoreSettings
 	// Spread changes how heartbeats are passed on to nodes.
 	Spread []heartbeat.SpreadOption
+	// CallAddress returns where targets call a member that other members reach at
+	// an address. Without it targets are not sent to members of their zones.
+	CallAddress func(address string) string
 }
 
 // Process runs a member: one goroutine owns the core, others have one duty
@@ -87,7 +90,7 @@
 		nodes:    map[ConnectionID]*ring.Ring[wire.Frame]{},
 		metrics:  newMetrics(),
 		beats:    heartbeat.NewCache(),
-		spread:   heartbeat.NewSpread(settings.Spread...),
+		spread:   heartbeat.NewSpread(append([]heartbeat.SpreadOption{heartbeat.WithZone(settings.Core.Zone)}, settings.Spread...)...),
 		stopped:  make(chan struct{}),
 	}
 	process.links = peerlink.New(process.noteLink)
--- a/internal/registry/referral.go
+++ b/internal/registry/referral.go
@@ -61,12 +61,27 @@
 	return c.rememberedMembers
 }
 
-// followMembers makes the table anew when the members have changed.
+// followMembers tells connections and heartbeats of the members when these have
+// changed.
 func (p *Process) followMembers(core *Core) {
 	revision := core.state.MemberRevision()
 	if revision == p.referredAt && p.referrals.Load() != nil {
 		return
 	}
 	p.referredAt = revision
-	p.referrals.Store(newReferralTable(p.settings.Core.Address, p.settings.Core.Zone, core.referralMembers()))
+	members := core.referralMembers()
+	p.referrals.Store(newReferralTable(p.settings.Core.Address, p.settings.Core.Zone, members))
+	p.spread.SetHomes(p.homes(members))
+}
+
+// homes returns where targets call the members of each zone.
+func (p *Process) homes(members []directory.Member) map[string][]string {
+	homes := map[string][]string{}
+	if p.settings.CallAddress == nil {
+		return homes
+	}
+	for _, member := range members {
+		homes[member.Zone] = append(homes[member.Zone], p.settings.CallAddress(member.Address))
+	}
+	return homes
 }
