--- a/cmd/beamdoor-lab/main.go
+++ b/cmd/beamdoor-lab/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	root := labcli.NewRoot()
-	root.AddCommand(standin.NewSoakCommand())
+	root.AddCommand(standin.NewSoakCommand(), standin.NewDrawnCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "beamdoor-lab:", err)
 		os.Exit(1)
--- a/internal/edge/subscriber.go
+++ b/internal/edge/subscriber.go
@@ -24,43 +24,20 @@
 const (
 	// SilenceLimit is the longest time without a byte from a member.
 	SilenceLimit = 3*registry.AliveInterval + 100*time.Millisecond
-	// NotCurrentLimit is how long a member may be not current.
-	NotCurrentLimit = 700 * time.Millisecond
 	// reportCapacity is the number of reports that wait for a slow member.
 	reportCapacity = 8
 	// retryPause is the wait between two attempts to reach a member.
 	retryPause = 40 * time.Millisecond
-	// FarLimit is how long the node stays with a member of another zone
-	// before it tries one of its own zone again that it has left for a fault.
-	FarLimit = 8 * time.Second
-	// farSpread is the time over which the nodes of a fleet go to members of their
-	// own zones: hundreds at once would hold up those members. A fleet that has
-	// just been founded registers its targets in its first seconds, and each
-	// registration goes to each node, so a longer time costs bytes between zones.
-	farSpread = time.Second
 )
 
-// errNearer ends the stream of a far member.
-var errNearer = errors.New("a member of the own zone is tried")
-
-// errReferred ends the stream of a seed that names the group's members.
-var errReferred = errors.New("the member names others")
-
-// errEmpty ends the stream of a member that knows nothing.
-var errEmpty = errors.New("the member has no place in the group")
-
 // subscriber follows one control member at a time. One goroutine owns it but
 // for the seeds.
 type subscriber struct {
 	process  *Process
 	revision uint64
-	// list holds the members that can be followed.
-	list     *steer.MemberList
+	follower *steer.Follower
 	suspects []directory.Token
 	lost     []directory.Token
-	// emptyMet is the number of signs of life from members that know nothing since
-	// the last one from a member that was current.
-	emptyMet int
 
 	// following is the address of the member that is followed, or "".
 	following atomic.Pointer[string]
@@ -76,9 +53,9 @@
 
 func newSubscriber(process *Process) *subscriber {
 	return &subscriber{
-		process: process,
-		list:    steer.NewMemberList(process.settings.Zone),
-		seeds:   process.settings.Seeds,
+		process:  process,
+		follower: steer.NewFollower(steer.NewMemberList(process.settings.Zone), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		seeds:    process.settings.Seeds,
 	}
 }
 
@@ -108,7 +85,7 @@
 		if connection == nil {
 			return
 		}
-		if errors.Is(s.follow(connection, member), errReferred) {
+		if errors.Is(s.follow(connection, member), steer.ErrReferred) {
 			continue
 		}
 		select {
@@ -125,19 +102,19 @@
 	var order []directory.Member
 	connection, address, err := peerlink.DialFirst(ctx, func() (string, bool) {
 		if len(order) == 0 {
-			s.list.Seeds = s.currentSeeds()
-			order = s.list.Order()
+			s.follower.List.Seeds = s.currentSeeds()
+			order = s.follower.List.Order()
 		}
 		member := order[0]
 		order = order[1:]
 		tried[member.Address] = member
-		s.list.NoteFault(member.Address, s.process.now())
+		s.follower.List.NoteFault(member.Address, s.process.now())
 		return member.Address, true
 	})
 	if err != nil {
 		return nil, directory.Member{}
 	}
-	s.list.NoteFault(address, s.process.now())
+	s.follower.List.NoteFault(address, s.process.now())
 	return connection, tried[address]
 }
 
@@ -155,9 +132,6 @@
 	s.openReports(connection)
 	defer s.closeReports()
 	err := s.read(connection, member)
-	if errors.Is(err, errNearer) {
-		s.list.ClearFaults()
-	}
 	s.process.logger.Sampled(eventlog.ControlLost, "address", member.Address, "err", err)
 	return err
 }
@@ -170,52 +144,40 @@
 		Revision:  s.revision,
 		Waited:    time.Since(s.process.started),
 		Beats:     s.process.settings.Beats,
-		Referable: len(s.list.Members) == 0,
+		Referable: s.follower.IsReferable(),
 	}
 }
 
 func (s *subscriber) read(connection net.Conn, member directory.Member) error {
+	const step = "edge.follow"
 	reader := bufio.NewReader(peerlink.NewReader(connection, SilenceLimit))
-	currentAt := time.Now()
-	var leaveAt time.Time
+	s.follower.Begin(s.process.now(), member)
 	for {
 		frame, err := wire.ReadFrame(reader)
-		if err != nil {
-			return err
+		if err == nil {
+			err = s.receive(frame)
 		}
-		switch frame.Kind {
-		case wire.FrameUpdate:
-			err = s.receiveUpdate(frame.Payload)
-		case wire.FrameRemembered:
-			err = s.receiveRemembered(frame.Payload)
-		case wire.FrameAlive:
-			currentAt, err = s.receiveAlive(frame.Payload, currentAt)
-		case wire.FrameReferral:
-			err = s.receiveReferral(frame.Payload)
+		if err == nil {
+			err = s.follower.Check(s.process.now())
 		}
 		if err != nil {
-			return err
-		}
-		if !s.list.IsFar(member) {
-			continue
-		}
-		if leaveAt.IsZero() {
-			leaveAt = time.Now().Add(s.farTime())
-		}
-		if time.Now().After(leaveAt) {
-			return steperror.Wrap("edge.follow", member.Address, errNearer)
+			return steperror.Wrap(step, member.Address, err)
 		}
 	}
 }
 
-// farTime returns how long the node stays with a far member: not long when a
-// member of its own zone has not been tried yet.
-func (s *subscriber) farTime() time.Duration {
-	spread := rand.N(farSpread)
-	if s.list.HasUntriedNear() {
-		return spread
+func (s *subscriber) receive(frame wire.Frame) error {
+	switch frame.Kind {
+	case wire.FrameUpdate:
+		return s.receiveUpdate(frame.Payload)
+	case wire.FrameRemembered:
+		return s.receiveRemembered(frame.Payload)
+	case wire.FrameAlive:
+		return s.receiveAlive(frame.Payload)
+	case wire.FrameReferral:
+		return s.receiveReferral(frame.Payload)
 	}
-	return FarLimit + spread
+	return nil
 }
 
 // receiveReferral takes the members that a seed names.
@@ -224,8 +186,7 @@
 	if err != nil {
 		return err
 	}
-	s.list.Members = referral.Members
-	return steperror.Wrap("edge.follow", "", errReferred)
+	return s.follower.Refer(referral.Members)
 }
 
 // receiveRemembered takes the targets that a member knows of before it knows
@@ -258,25 +219,22 @@
 		return steperror.New("edge.apply", "", "the update does not fit")
 	}
 	s.revision = outcome.revision
-	s.list.Members = outcome.members
+	s.follower.List.Members = outcome.members
 	return nil
 }
 
-// receiveAlive notes whether the member is current. A member that has not
-// been for too long is left for another one.
-func (s *subscriber) receiveAlive(payload []byte, currentAt time.Time) (time.Time, error) {
+// receiveAlive takes a sign of life with the verdicts on targets.
+func (s *subscriber) receiveAlive(payload []byte) error {
 	alive, err := registry.DecodeAlive(payload)
 	if err != nil {
-		return currentAt, err
+		return err
+	}
+	presence := steer.Presence{Current: alive.Current, Empty: alive.Empty}
+	if err := s.follower.Hear(s.process.now(), presence, s.revision == 0); err != nil {
+		return err
 	}
 	if !alive.Current {
-		if s.leavesEmpty(alive) {
-			return currentAt, steperror.Wrap("edge.follow", "", errEmpty)
-		}
-		if time.Since(currentAt) > NotCurrentLimit {
-			return currentAt, steperror.New("edge.follow", "", "the member is not current")
-		}
-		return currentAt, nil
+		return nil
 	}
 	if !slices.Equal(alive.Suspects, s.suspects) || !slices.Equal(alive.Lost, s.lost) {
 		s.suspects = alive.Suspects
@@ -285,18 +243,7 @@
 	}
 	now := time.Now()
 	s.currentAt.Store(&now)
-	s.emptyMet = 0
-	return now, nil
-}
-
-// leavesEmpty reports whether a member that knows nothing is left at once. Once
-// all were found to know nothing, the group is being founded, and the node waits.
-func (s *subscriber) leavesEmpty(alive registry.Alive) bool {
-	if !alive.Empty || s.revision > 0 {
-		return false
-	}
-	s.emptyMet++
-	return s.emptyMet < s.list.Len()
+	return nil
 }
 
 // followed returns the address of the member that is followed, or "".
--- a/internal/edge/subscriber_test.go
+++ b/internal/edge/subscriber_test.go
@@ -111,20 +111,3 @@
 	time.Sleep(soon)
 	assert.Equal(t, 2, met(), "while the group is founded nodes do not go round")
 }
-
-// All nodes that had followed a member of another zone left it within 80 ms of
-// each other, 8 s after an outage (patitas-uio-large and swancoast-geo-large).
-func TestNodesGoToTheirOwnZoneAtDifferentTimes(t *testing.T) {
-	process := NewProcess(Settings{Zone: "north"}, eventlog.Discard())
-	s := process.subscriber
-	s.list.Members = []directory.Member{{Address: "a", Zone: "south"}, {Address: "b", Zone: "north"}}
-	times := map[time.Duration]bool{}
-	for range 100 {
-		wait := s.farTime()
-		assert.Less(t, wait, farSpread, "the near member was never tried")
-		times[wait/(farSpread/10)] = true
-	}
-	assert.Greater(t, len(times), 5)
-	s.list.NoteFault("b", process.now())
-	assert.GreaterOrEqual(t, s.farTime(), FarLimit)
-}
--- a/internal/lab/fleetsim/caller.go
+++ b/internal/lab/fleetsim/caller.go
@@ -22,9 +22,6 @@
 	// pauseTime is the mean time between two requests of a caller.
 	pauseTime = 150 * time.Millisecond
 	dataSize  = 100
-	// lossOneIn is the number of packets of callers, and of answers, of which
-	// one is lost.
-	lossOneIn = 100
 )
 
 var (
@@ -136,7 +133,7 @@
 	p.Token = f.token
 	p.Acknowledged = f.acked
 	e := w.route(f)
-	if e == nil || w.random.IntN(lossOneIn) == 0 {
+	if e == nil || w.isLost() {
 		return
 	}
 	w.after(callerTime, func() { e.packet(p, f) })
--- a/internal/lab/fleetsim/edge.go
+++ b/internal/lab/fleetsim/edge.go
@@ -36,14 +36,14 @@
 
 	// held are frames of members that a cut holds up, in order.
 	held []heldFrame
-	list *steer.MemberList
+	// seeds are the members that the node was told when it started.
+	seeds    []string
+	follower *steer.Follower
 	// left is the address of the member that was tried last.
 	left       string
 	member     *member
 	connection registry.ConnectionID
-	openedAt   kernel.Instant
 	heardAt    kernel.Instant
-	currentAt  kernel.Instant
 	startedAt  kernel.Instant
 	version    uint64
 }
@@ -54,7 +54,8 @@
 	settings.Random = e.world.random
 	settings.Chooser = nearby()
 	e.core = steer.New(settings)
-	e.list = steer.NewMemberList(e.zone, steer.WithShuffle(e.world.random.Shuffle))
+	e.follower = steer.NewFollower(steer.NewMemberList(e.zone, steer.WithShuffle(e.world.random.Shuffle)), e.world.random)
+	e.seeds = e.world.seeds()
 	e.up = true
 	e.ready = false
 	e.leaving = false
@@ -99,14 +100,8 @@
 		return
 	}
 	e.send(evidence)
-	if e.list.IsFar(directory.Member{Address: e.member.name}) && w.now.Sub(e.openedAt) > product.FarLimit {
-		e.list.ClearFaults()
-		e.leave()
-		return
-	}
 	silent := w.now.Sub(e.heardAt) > product.SilenceLimit
-	stale := w.now.Sub(e.currentAt) > product.NotCurrentLimit
-	if silent || stale || !e.member.up {
+	if silent || !e.member.up || e.follower.Check(w.now) != nil {
 		e.leave()
 	}
 }
@@ -131,7 +126,7 @@
 		return
 	}
 	w, m, connection, life := e.world, e.member, e.connection, e.member.life
-	w.after(between(e.zone, m.zone), func() {
+	w.after(w.between(e.zone, m.zone), func() {
 		if m.up && m.life == life && !w.cuts[m.name] && !w.cuts[e.name] {
 			m.core.Observe(w.now, connection, message)
 		}
@@ -142,30 +137,37 @@
 // subscriber does.
 func (e *edge) follow() {
 	w := e.world
+	list := e.follower.List
 	if w.settings.Switches.ForgetFaults {
-		e.list.ClearFaults()
-		e.list.NoteFault(e.left, w.now)
+		list.ClearFaults()
+		list.NoteFault(e.left, w.now)
 	}
-	e.list.Members = e.core.Members()
-	e.list.Seeds = w.memberNames()
-	address := e.list.Order()[0].Address
-	e.list.NoteFault(address, w.now)
+	if members := e.core.Members(); members != nil {
+		list.Members = members
+	}
+	list.Seeds = e.seeds
+	next := list.Order()[0]
+	address := next.Address
+	list.NoteFault(address, w.now)
 	e.left = address
 	m := w.memberAt(address)
 	if m == nil || !m.up || w.cuts[m.name] || w.cuts[e.name] {
 		return
 	}
+	subscribe := registry.Subscribe{
+		Node: e.name, Zone: e.zone, Revision: e.core.Revision(), Waited: w.now.Sub(e.startedAt), Referable: e.follower.IsReferable(),
+	}
+	if referral, refers := m.core.Refer(subscribe); refers {
+		_ = e.follower.Refer(referral.Members)
+		return
+	}
 	m.nextConn++
 	e.member = m
 	e.connection = m.nextConn
-	e.openedAt = w.now
 	e.heardAt = w.now
-	e.currentAt = w.now
+	e.follower.Begin(w.now, next)
 	m.nodes[e.connection] = e
-	waited := w.now.Sub(e.startedAt)
-	m.take(m.core.Open(w.now, e.connection, registry.Subscribe{
-		Node: e.name, Zone: e.zone, Revision: e.core.Revision(), Waited: waited,
-	}))
+	m.take(m.core.Open(w.now, e.connection, subscribe))
 }
 
 func (e *edge) leave() {
@@ -242,10 +244,14 @@
 		if err != nil {
 			panic(err)
 		}
+		presence := steer.Presence{Current: alive.Current, Empty: alive.Empty}
+		if e.follower.Hear(w.now, presence, e.core.Revision() == 0) != nil {
+			e.leave()
+			return
+		}
 		if !alive.Current {
 			return
 		}
-		e.currentAt = w.now
 		for _, packet := range e.core.Judge(alive.Suspects, alive.Lost) {
 			e.reset(packet)
 		}
@@ -283,7 +289,7 @@
 		if t == nil {
 			return
 		}
-		w.after(between(e.zone, t.zone), func() { t.packet(e, p, f, decision.Target.Token) })
+		w.after(w.between(e.zone, t.zone), func() { t.packet(e, p, f, decision.Target.Token) })
 	case steer.ActionReset:
 		w.after(callerTime, func() { f.reset(e) })
 	}
--- a/internal/lab/fleetsim/member.go
+++ b/internal/lab/fleetsim/member.go
@@ -63,8 +63,8 @@
 	return nil
 }
 
-// founders returns the names of the members that found the group.
-func (w *World) founders() []string {
+// firstMembers returns the names of the members that start with the world.
+func (w *World) firstMembers() []string {
 	var names []string
 	for number := range w.settings.Members {
 		names = append(names, fmt.Sprintf("member-%d", number+1))
@@ -72,6 +72,19 @@
 	return names
 }
 
+// founders returns the names of the members that found the group.
+func (w *World) founders() []string {
+	names := w.firstMembers()
+	return names[:min(founderCount, len(names))]
+}
+
+// seeds returns the names of the members that a part is told when it starts.
+func (w *World) seeds() []string {
+	names := w.memberNames()
+	w.random.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
+	return names[:min(founderCount, len(names))]
+}
+
 // start opens the disk and begins; it panics on a disk that cannot be read,
 // which the emulated one never makes of what was synced.
 func (m *member) start() {
@@ -86,8 +99,8 @@
 	settings := registry.DefaultCoreSettings()
 	settings.Address = m.name
 	settings.Zone = m.zone
-	settings.Voters = m.world.settings.Members
-	settings.Seeds = m.world.memberNames()
+	settings.Voters = 2*m.world.settings.Tolerance + 1
+	settings.Seeds = m.world.seeds()
 	settings.Bootstrap = m.bootstrap
 	if m.bootstrap {
 		settings.Seeds = m.world.founders()
@@ -125,7 +138,7 @@
 	for _, message := range output.Nodes {
 		if e, connected := m.nodes[message.Connection]; connected {
 			held := heldFrame{from: m, life: m.life, connection: message.Connection, frame: message.Frame}
-			w.after(between(m.zone, e.zone), func() { e.arrive(held) })
+			w.after(w.between(m.zone, e.zone), func() { e.arrive(held) })
 		}
 	}
 	for _, outcome := range output.Outcomes {
@@ -147,10 +160,10 @@
 func (m *member) delayTo(name string) time.Duration {
 	for _, other := range m.world.members {
 		if other.name == name {
-			return between(m.zone, other.zone) + time.Duration(m.world.random.Int64N(int64(inZone)))
+			return m.world.between(m.zone, other.zone) + time.Duration(m.world.random.Int64N(int64(inZone)))
 		}
 	}
-	return crossZone
+	return m.world.settings.CrossZone
 }
 
 // deliver hands a frame to a member unless one of the two is cut off or they
--- a/internal/lab/fleetsim/target.go
+++ b/internal/lab/fleetsim/target.go
@@ -42,7 +42,7 @@
 func (w *World) addTargetAt(service string, address netip.AddrPort) *target {
 	t := &target{
 		world: w, id: fmt.Sprintf("t-%d-%d", w.nextTarget, len(w.targets)), number: len(w.targets), service: service,
-		zone: Zones[len(w.targets)%len(Zones)], address: address, state: directory.TargetReady, lives: true, flows: map[*flow]bool{},
+		zone: w.zone(len(w.targets)), address: address, state: directory.TargetReady, lives: true, flows: map[*flow]bool{},
 	}
 	w.targets = append(w.targets, t)
 	w.every(heartbeat, func() {
@@ -76,7 +76,7 @@
 		return
 	}
 	reported := t.describe()
-	w.after(between(t.zone, m.zone), func() {
+	w.after(w.between(t.zone, m.zone), func() {
 		if !m.up {
 			return
 		}
@@ -162,7 +162,7 @@
 	if p.Size > 0 {
 		sequence := p.Sequence
 		w.after(workTime, func() {
-			if t.lives && !w.cuts[t.id] && w.random.IntN(lossOneIn) > 0 {
+			if t.lives && !w.cuts[t.id] && !w.isLost() {
 				w.after(callerTime, func() { f.answer(t, sequence) })
 			}
 		})
--- a/internal/lab/fleetsim/world.go
+++ b/internal/lab/fleetsim/world.go
@@ -13,15 +13,12 @@
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
+	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
-// Zones are those in which all parts stand by turns.
-var Zones = []string{"north", "south", "west"}
-
 const (
-	// inZone and crossZone are the times one way between two parts.
-	inZone    = 200 * time.Microsecond
-	crossZone = 1400 * time.Microsecond
+	// inZone is the time one way between two parts of a zone.
+	inZone = 200 * time.Microsecond
 	// callerTime is the time one way to a caller.
 	callerTime = time.Millisecond
 	contact    = flowrules.Contact
@@ -42,14 +39,77 @@
 // Settings of a run.
 type Settings struct {
 	Seed uint64
-	// Members is the number of members that found the group and vote.
-	Members  int
-	Edges    int
-	Targets  int
-	Callers  int
-	Length   time.Duration
-	Faults   bool
-	Switches Switches
+	// Members is the number of members; the first three found the group, and the
+	// others join it.
+	Members int
+	// Tolerance is the number of disks that may be lost at once; 0 stands for as
+	// many as all members bear.
+	Tolerance int
+	Edges     int
+	Targets   int
+	Callers   int
+	// Zones is the number of zones in which all parts stand by turns; 0 means 3.
+	Zones int
+	// CrossZone is the time one way between two zones; 0 means 1.4 ms.
+	CrossZone time.Duration
+	// LossOneIn is the number of packets of callers, and of answers, of which one
+	// is lost; 0 means 100.
+	LossOneIn int
+	Length    time.Duration
+	Faults    bool
+	Switches  Switches
+}
+
+// The values of settings that are left out.
+const (
+	defaultZones     = 3
+	defaultCrossZone = 1400 * time.Microsecond
+	defaultLossOneIn = 100
+)
+
+// founderCount is the number of members whose addresses all parts are told.
+const founderCount = 3
+
+// Validate returns what is wrong with the settings, or nil.
+func (s Settings) Validate() error {
+	switch {
+	case s.Members < 1:
+		return problem("Members", s.Members, "there must be one at least")
+	case s.Tolerance < 0 || 2*s.Tolerance+1 > s.Members:
+		return problem("Tolerance", s.Tolerance, fmt.Sprintf("%d members cannot bear it: %d are needed", s.Members, 2*s.Tolerance+1))
+	case s.Edges < 1:
+		return problem("Edges", s.Edges, "there must be one at least")
+	case s.Targets < len(services):
+		return problem("Targets", s.Targets, fmt.Sprintf("each route needs a target: %d at least", len(services)))
+	case s.Zones < 0:
+		return problem("Zones", s.Zones, "must not be below 0")
+	case s.CrossZone < 0:
+		return problem("CrossZone", s.CrossZone, "must not be below 0")
+	case s.LossOneIn < 0:
+		return problem("LossOneIn", s.LossOneIn, "must not be below 0")
+	}
+	return nil
+}
+
+func problem(field string, value any, reason string) error {
+	return steperror.New("fleetsim.settings", field, fmt.Sprintf("%v: %s", value, reason))
+}
+
+// filled returns the settings with values for those that are left out.
+func (s Settings) filled() Settings {
+	if s.Tolerance == 0 {
+		s.Tolerance = (s.Members - 1) / 2
+	}
+	if s.Zones == 0 {
+		s.Zones = defaultZones
+	}
+	if s.CrossZone == 0 {
+		s.CrossZone = defaultCrossZone
+	}
+	if s.LossOneIn == 0 {
+		s.LossOneIn = defaultLossOneIn
+	}
+	return s
 }
 
 // event is something that happens at an instant.
@@ -114,7 +174,7 @@
 // New returns a world in which nothing has happened yet.
 func New(settings Settings) *World {
 	w := &World{
-		settings:    settings,
+		settings:    settings.filled(),
 		now:         kernel.Instant(time.Minute),
 		random:      rand.New(rand.NewPCG(settings.Seed, 77)),
 		oracle:      flowrules.New(),
@@ -154,13 +214,19 @@
 }
 
 // between returns the time one way between two zones.
-func between(a, b string) time.Duration {
+func (w *World) between(a, b string) time.Duration {
 	if a == b {
 		return inZone
 	}
-	return crossZone
+	return w.settings.CrossZone
 }
 
+// zone returns the zone of the part with a number of its kind.
+func (w *World) zone(number int) string { return fmt.Sprint("zone-", number%w.settings.Zones+1) }
+
+// isLost draws whether a packet of a caller or an answer is lost.
+func (w *World) isLost() bool { return w.random.IntN(w.settings.LossOneIn) == 0 }
+
 // disturb notes that a part is disturbed now.
 func (w *World) disturb(names ...string) {
 	for _, name := range names {
@@ -227,11 +293,11 @@
 }
 
 func (w *World) build() {
-	for number, name := range w.founders() {
-		w.addMember(name, Zones[number%len(Zones)], true)
+	for number, name := range w.firstMembers() {
+		w.addMember(name, w.zone(number), true)
 	}
 	for number := range w.settings.Edges {
-		e := &edge{world: w, name: fmt.Sprintf("edge-%d", number+1), zone: Zones[number%len(Zones)]}
+		e := &edge{world: w, name: fmt.Sprintf("edge-%d", number+1), zone: w.zone(number)}
 		w.edges = append(w.edges, e)
 		e.start()
 		w.every(reportInterval, e.tick)
@@ -241,7 +307,7 @@
 		w.addTarget(services[w.nextTarget%len(services)])
 	}
 	for number := range w.settings.Callers {
-		w.callers = append(w.callers, &caller{world: w, number: number, zone: Zones[number%len(Zones)]})
+		w.callers = append(w.callers, &caller{world: w, number: number, zone: w.zone(number)})
 	}
 	w.after(2*time.Second, w.operator.change)
 }
--- a/internal/registry/referral.go
+++ b/internal/registry/referral.go
@@ -51,6 +51,14 @@
 	return t != nil && subscribe.Referable && subscribe.Zone != t.zone
 }
 
+// Refer returns the referral for a node that is to be sent on to another member,
+// and false for one that stays.
+func (c *Core) Refer(subscribe Subscribe) (Referral, bool) {
+	members := c.referralMembers()
+	table := newReferralTable(c.settings.Address, c.settings.Zone, members)
+	return Referral{Members: members}, table.sendsOn(subscribe)
+}
+
 // referralMembers returns the members that nodes are told of: those of the
 // replicated state or, before this member has learned what is committed, those
 // on its disk. One that has gone costs a node an attempt to connect.
