A full list of waiting packets makes room; bytes by kind of frame, time to readiness

TestAFullListMakesRoomForCallersThatAreStillThere: there was no such step before.

Told: beamdoor_member_frame_bytes_total by kind, beamdoor_edge_ready_after_seconds (histogram), event 1071 for a referred node.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -31,6 +31,9 @@
 	stateAge prometheus.Histogram
 	// held is how long callers had waited when their packets were sent, in seconds.
 	held prometheus.Histogram
+	// readyAfter is the time from the start of the process until it was ready, in
+	// seconds.
+	readyAfter prometheus.Histogram
 	// applying is the time to put an update in force, in seconds.
 	applying prometheus.Histogram
 }
@@ -53,6 +56,7 @@
 		version:      set.Gauge("configuration_version", "version of the configuration in force"),
 		stateAge:     set.Seconds("state_age_seconds", "age of the node's state when it placed a flow"),
 		held:         set.Seconds("held_seconds", "time that callers had waited when packets kept for them were sent"),
+		readyAfter:   set.Seconds("ready_after_seconds", "time from the start of the process until the node was ready"),
 		applying:     set.Seconds("update_seconds", "time to put an update in force"),
 	}
 	decisions := set.CounterVec("packets_total", "packets by the reason of their decision", "reason")
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -282,7 +282,7 @@
 		p.metrics.malformed.Inc()
 		return
 	}
-	if !p.core.CanDecide(packet) && p.waiting.add(now, packet, datagram) {
+	if !p.core.CanDecide(packet) && p.keep(now, packet, datagram) {
 		p.metrics.waited.Inc()
 		return
 	}
@@ -290,6 +290,12 @@
 	p.decide(now, packet, datagram)
 }
 
+// keep lets a packet wait until the node knows enough for it.
+func (p *Process) keep(now kernel.Instant, packet steer.Packet, datagram []byte) bool {
+	p.metrics.left.Add(float64(p.waiting.makeRoom(now, p.patience)))
+	return p.waiting.add(now, packet, datagram)
+}
+
 // decide carries out the core's decision on a packet.
 func (p *Process) decide(now kernel.Instant, packet steer.Packet, datagram []byte) {
 	decision := p.core.Decide(now, packet)
@@ -379,6 +385,9 @@
 func (p *Process) noteReadiness() {
 	ready := p.core.IsReady()
 	if p.ready.Swap(ready) != ready {
+		if ready {
+			p.metrics.readyAfter.Observe(time.Since(p.started).Seconds())
+		}
 		p.logger.Event(eventlog.ReadinessChanged, "ready", ready, "revision", p.core.Revision(), "waiting", len(p.waiting.packets))
 	}
 	if ready {
--- a/internal/edge/waitlist.go
+++ b/internal/edge/waitlist.go
@@ -47,6 +47,8 @@
 	packets map[steer.FlowKey]*waitingPacket
 	// order holds the packets by since. Those that were dropped are still in it.
 	order []*waitingPacket
+	// roomAt is when the list last looked for room.
+	roomAt kernel.Instant
 }
 
 func newWaitlist() *waitlist { return &waitlist{packets: map[steer.FlowKey]*waitingPacket{}} }
@@ -68,6 +70,17 @@
 	return true
 }
 
+// makeRoom forgets the packets whose callers have left when the list is full, and
+// returns their number. It looks no more often than packets are released: a full
+// list takes a while to go through.
+func (w *waitlist) makeRoom(now kernel.Instant, patience func(steer.FlowKey) time.Duration) int {
+	if len(w.packets) < waitCapacity || now.Sub(w.roomAt) < releaseInterval {
+		return 0
+	}
+	w.roomAt = now
+	return w.clean(now, patience)
+}
+
 // insert puts a packet behind those whose callers began to wait earlier.
 func (w *waitlist) insert(kept *waitingPacket) {
 	position := sort.Search(len(w.order), func(i int) bool { return w.order[i].since > kept.since })
--- a/internal/edge/waitlist_test.go
+++ b/internal/edge/waitlist_test.go
@@ -116,3 +116,19 @@
 	assert.False(t, more)
 	assert.Equal(t, []string{"new flow"}, takeAll(w, now))
 }
+
+// A node that is not ready for long kept the packets of callers that had left, and
+// refused new ones once so many flows had waited (found by reading).
+func TestAFullListMakesRoomForCallersThatAreStillThere(t *testing.T) {
+	w := newWaitlist()
+	now := kernel.Instant(time.Minute)
+	for port := range waitCapacity {
+		assert.True(t, w.add(now, packet(uint16(port)), []byte("old")))
+	}
+	assert.Zero(t, w.makeRoom(now.Add(time.Second/2), forASecond), "all callers still wait")
+	assert.False(t, w.add(now.Add(time.Second/2), packet(waitCapacity), []byte("new")))
+	later := now.Add(2 * time.Second)
+	assert.Equal(t, waitCapacity, w.makeRoom(later, forASecond))
+	assert.True(t, w.add(later, packet(waitCapacity), []byte("new")))
+	assert.Len(t, w.order, 1)
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -43,6 +43,7 @@
 	GroupSizeChanged   ID = 1065
 	QuorumMissing      ID = 1066
 	NodeSubscribed     ID = 1070
+	NodeReferred       ID = 1071
 	VersionAccepted    ID = 1080
 	VersionRefused     ID = 1081
 	VersionUnanswered  ID = 1082
@@ -123,6 +124,7 @@
 	{GroupSizeChanged, "group_size_changed", "the group became too small for the losses that it must bear, or large enough"},
 	{QuorumMissing, "quorum_missing", "this member has heard no leader for long: too few voters can be reached"},
 	{NodeSubscribed, "node_subscribed", "node asked for updates"},
+	{NodeReferred, "node_referred", "node that knows only seeds was sent on to members of its zone"},
 	{VersionAccepted, "version_accepted", "configuration is on the disks of a quorum"},
 	{VersionRefused, "version_refused", "configuration refused"},
 	{VersionUnanswered, "version_unanswered", "the group did not take the configuration in time"},
--- a/internal/registry/metrics.go
+++ b/internal/registry/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/beamdoor/beamdoor/internal/hosting"
 	"github.com/beamdoor/beamdoor/internal/raft"
 	"github.com/beamdoor/beamdoor/internal/replica"
+	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
 // metrics are the counters of a member's process.
@@ -30,6 +31,8 @@
 	requests prometheus.Histogram
 	// saves is the time that the disk takes to make a batch last, in seconds.
 	saves prometheus.Histogram
+	// frames counts the bytes of frames to members and nodes by their kind.
+	frames *prometheus.CounterVec
 	// referrals counts the nodes that were sent on to another member.
 	referrals prometheus.Counter
 	// leaderless is the time without a known leader, in seconds.
@@ -52,6 +55,7 @@
 		votersMissing: set.Gauge("voters_missing", "voters that the stated tolerance needs and the group has not"),
 		requests:      set.Seconds("request_seconds", "time from a call to its outcome"),
 		saves:         set.Seconds("save_seconds", "time of the disk to make a batch last"),
+		frames:        set.CounterVec("frame_bytes_total", "bytes of frames sent to members and nodes", "kind"),
 		referrals:     set.Counter("referrals_total", "nodes that were sent on to another member"),
 		leaderless:    set.Counter("leaderless_seconds_total", "time without a known leader"),
 	}
@@ -75,6 +79,11 @@
 	m.suspects.Set(float64(len(core.liveness.verdicts.Suspects)))
 }
 
+// countFrame counts a frame that is sent to a member or a node.
+func (m *metrics) countFrame(frame wire.Frame) {
+	m.frames.WithLabelValues(frame.Kind.String()).Add(float64(wire.FrameSize(frame)))
+}
+
 // Metrics returns the handler of the metrics address.
 func (p *Process) Metrics() http.Handler { return p.metrics.set.Handler() }
 
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -283,6 +283,7 @@
 		p.logEvent(event)
 	}
 	for _, message := range output.Members {
+		p.metrics.countFrame(message.Frame)
 		p.links.Send(message.To, message.Frame)
 	}
 	for _, message := range output.Nodes {
@@ -323,6 +324,7 @@
 // sendNode queues a frame for a node. A node that does not read is dropped:
 // it subscribes again and gets all that it lacks.
 func (p *Process) sendNode(message NodeFrame) {
+	p.metrics.countFrame(message.Frame)
 	queue, connected := p.nodes[message.Connection]
 	if connected && !queue.TryPush(message.Frame) {
 		p.dropNode(message.Connection)
--- a/internal/registry/streams.go
+++ b/internal/registry/streams.go
@@ -81,6 +81,7 @@
 // refer sends a node on to another member. The core has no part in it.
 func (p *Process) refer(connection net.Conn, subscribe Subscribe, table *referralTable) {
 	p.metrics.referrals.Inc()
+	p.logger.Sampled(eventlog.NodeReferred, "node", subscribe.Node, "zone", subscribe.Zone)
 	if err := peerlink.Write(connection, wire.AppendFrame(nil, table.frame)); err != nil {
 		p.logger.Sampled(eventlog.BadFrame, "node", subscribe.Node, "peer", connection.RemoteAddr(), "err", err)
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -56,6 +56,22 @@
 	FrameReferral
 )
 
+var frameNames = [...]string{
+	FrameRaft: "raft", FrameReports: "reports", FrameGrants: "grants", FrameSignals: "signals", FrameReport: "report",
+	FrameGrant: "grant", FrameConfig: "config", FrameHello: "hello", FrameJoin: "join", FrameJoinReply: "join_reply",
+	FrameForward: "forward", FrameForwarded: "forwarded", FrameReadIndex: "read_index", FrameLiveness: "liveness",
+	FrameSubscribe: "subscribe", FrameUpdate: "update", FrameEvidence: "evidence", FrameAlive: "alive",
+	FrameRemembered: "remembered", FrameReferral: "referral",
+}
+
+// String returns the name of the kind, as metrics give it.
+func (k FrameKind) String() string {
+	if int(k) >= len(frameNames) || frameNames[k] == "" {
+		return "unknown"
+	}
+	return frameNames[k]
+}
+
 // Frame is one message on a TCP connection.
 type Frame struct {
 	Kind    FrameKind
