The connection of a target that is sent on is closed

Cause: members had 495 to 535 connections at 300 machines and 3,000 targets, each with its buffers: a target that is named another address for its later heartbeats left its connection open. Ruled out: the idle time of connections (5 s in place of 30 s changed nothing,; reverted).

TestTheConnectionOfATargetThatIsSentOnIsClosed fails without it.

--- a/internal/hosting/calls.go
+++ b/internal/hosting/calls.go
@@ -30,6 +30,14 @@
 	http.Error(writer, "not taken", http.StatusServiceUnavailable)
 }
 
+// WriteLastJSON answers a call with a JSON body and closes the connection: the
+// caller's later calls go elsewhere, and an idle connection costs memory and a
+// descriptor.
+func WriteLastJSON(writer http.ResponseWriter, status int, body []byte) {
+	writer.Header().Set("Connection", "close")
+	WriteJSON(writer, status, body)
+}
+
 // WriteJSON answers a call with a JSON body.
 func WriteJSON(writer http.ResponseWriter, status int, body []byte) {
 	writer.Header().Set("Content-Type", "application/json")
