Explain keeps only lines that can belong to the answer

Cause: a fleet of 300 writes 83,000 lines in 75 s, more than half about single flows, and explain parsed and kept them all. Lines about flows that are not asked for are now left out by their text alone.

--- a/cmd/beamdoor-node/explain.go
+++ b/cmd/beamdoor-node/explain.go
@@ -30,7 +30,7 @@
 			if format != formatText && format != formatJSON {
 				return fmt.Errorf("--output: %q: must be %s or %s", format, formatText, formatJSON)
 			}
-			lines, err := readLogs(cmd.InOrStdin(), files)
+			lines, err := readLogs(cmd.InOrStdin(), files, question)
 			if err != nil {
 				return err
 			}
@@ -51,9 +51,9 @@
 	return command
 }
 
-func readLogs(standardInput io.Reader, files []string) ([]explain.Line, error) {
+func readLogs(standardInput io.Reader, files []string, question explain.Question) ([]explain.Line, error) {
 	if len(files) == 0 {
-		return explain.Read(standardInput)
+		return explain.Read(standardInput, question)
 	}
 	var lines []explain.Line
 	for _, name := range files {
@@ -61,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		part, err := explain.Read(file)
+		part, err := explain.Read(file, question)
 		_ = file.Close()
 		if err != nil {
 			return nil, err
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -62,16 +62,18 @@
 	return ""
 }
 
-// Read reads all lines of a log. What stands before the time stamp of a line
-// is skipped, and lines without one are left out.
-func Read(reader io.Reader) ([]Line, error) {
+// Read reads the lines of a log that can belong to the answer of a question.
+// What stands before the time stamp of a line is skipped, and lines without one
+// are left out. Lines about single flows, by far the most of a large fleet, are
+// kept only for the flow that is asked about.
+func Read(reader io.Reader, question Question) ([]Line, error) {
 	var lines []Line
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(nil, maxLine)
 	for scanner.Scan() {
 		text := scanner.Text()
 		start := strings.Index(text, keyTime+"=")
-		if start < 0 {
+		if start < 0 || question.excludes(text[start:]) {
 			continue
 		}
 		if line, ok := parse(text[start:]); ok {
@@ -81,6 +83,17 @@
 	return lines, steperror.Wrap("explain.read", "", scanner.Err())
 }
 
+// excludes reports whether a line is about a flow that is not asked about, by
+// its text alone: parsing takes far longer.
+func (q Question) excludes(text string) bool {
+	_, rest, aboutFlow := strings.Cut(text, " "+keyCaller+"=")
+	if !aboutFlow {
+		return false
+	}
+	caller, _, _ := strings.Cut(rest, " ")
+	return q.Caller == "" || caller != q.Caller
+}
+
 func parse(text string) (Line, bool) {
 	line := Line{StateAge: -1}
 	decoder := logfmt.NewDecoder(strings.NewReader(text))
--- a/internal/explain/story_test.go
+++ b/internal/explain/story_test.go
@@ -30,33 +30,49 @@
 	return list
 }
 
-func read(t *testing.T) []Line {
-	lines, err := Read(strings.NewReader(logs))
+// flowLines is the number of lines about flows in the logs, and otherLines that of
+// all others.
+const (
+	flowLines  = 3
+	otherLines = 9 - flowLines
+)
+
+func read(t *testing.T, question Question) []Line {
+	lines, err := Read(strings.NewReader(logs), question)
 	require.NoError(t, err)
-	require.Len(t, lines, 9)
 	return lines
 }
 
+func story(t *testing.T, question Question) []Line { return Story(read(t, question), question) }
+
+// Of the 83,000 lines of 300 machines in 75 s more than half are about single flows.
+func TestLinesAboutFlowsThatAreNotAskedForAreNotKept(t *testing.T) {
+	assert.Len(t, read(t, Question{Caller: "10.0.0.1:5"}), otherLines+flowLines-1, "one line is about another flow")
+	assert.Len(t, read(t, Question{Caller: "10.0.0.1"}), otherLines, "part of a caller is no caller")
+	assert.Len(t, read(t, Question{Target: "i-1"}), otherLines)
+	assert.Len(t, read(t, Question{Version: "4"}), otherLines)
+}
+
 func TestTheStoryOfAFlowHoldsItsDecisionsAndTheFateOfItsTarget(t *testing.T) {
-	story := Story(read(t), Question{Caller: "10.0.0.1:5"})
+	story := story(t, Question{Caller: "10.0.0.1:5"})
 	assert.Equal(t, []string{"flow_placed", "target_held_lost", "targets_suspected", "flow_reset"}, names(story))
 	assert.Equal(t, float64(1), story[0].StateAge.Seconds())
 	assert.Negative(t, story[3].StateAge, "front-2 has no update in the logs")
 }
 
 func TestTheStoryOfATarget(t *testing.T) {
-	story := Story(read(t), Question{Target: "i-1"})
+	story := story(t, Question{Target: "i-1"})
 	assert.Equal(t, []string{"target_held_lost", "targets_suspected"}, names(story))
 }
 
 func TestTheStoryOfAVersionHoldsTheChangesOfLeaders(t *testing.T) {
-	story := Story(read(t), Question{Version: "4"})
+	story := story(t, Question{Version: "4"})
 	assert.Equal(t, []string{"role_changed", "version_in_force"}, names(story))
 }
 
 func TestPrint(t *testing.T) {
 	var text strings.Builder
-	require.NoError(t, Print(&text, Story(read(t), Question{Caller: "10.0.0.1:5"})))
+	require.NoError(t, Print(&text, story(t, Question{Caller: "10.0.0.1:5"})))
 	assert.Contains(t, text.String(), "+2.000s  front-2")
 	assert.Contains(t, text.String(), "reason=lost")
 	assert.Contains(t, text.String(), "age of its state: 1s")
@@ -68,9 +84,10 @@
 func FuzzRead(f *testing.F) {
 	f.Add(logs)
 	f.Fuzz(func(t *testing.T, text string) {
-		lines, err := Read(strings.NewReader(text))
+		question := Question{Caller: "10.0.0.1:5"}
+		lines, err := Read(strings.NewReader(text), question)
 		if err == nil {
-			Story(lines, Question{Caller: "10.0.0.1:5"})
+			Story(lines, question)
 		}
 	})
 }
