--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # beamdoor: build, test and run. See README.md.
 
-.PHONY: build demo demo-platform test check smoke sim bench faults fuzz soak soak-program soak-regressions
+.PHONY: build demo demo-platform test check smoke sim bench drawn drawn-processes faults fuzz soak soak-program soak-regressions
 
 SEEDS ?= 1-50
 MINUTES ?= 3
@@ -60,6 +60,13 @@
 soak: soak-program
 	bin/beamdoor-lab soak --minutes $(MINUTES) --seed $(or $(SEED),0) --report run/soak
 
+# Deployments drawn at random, in the simulator and with real processes.
+drawn: build
+	bin/beamdoor-lab drawn --seeds $(SEEDS)
+
+drawn-processes: soak-program
+	bin/beamdoor-lab drawn --processes --seeds $(or $(filter-out 1-50,$(SEEDS)),1-20)
+
 # All seeds that ever failed.
 soak-regressions: soak-program
 	bash scripts/soak-regressions.sh
