--- a/internal/lab/labcli/sim.go
+++ b/internal/lab/labcli/sim.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"runtime"
-	"strconv"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -14,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/lab/seedspan"
 	"github.com/beamdoor/beamdoor/internal/lab/sim"
 	"github.com/beamdoor/beamdoor/internal/ring"
 	"github.com/beamdoor/beamdoor/internal/routing"
@@ -77,21 +77,6 @@
 	}
 }
 
-func parseSeeds(text string) (first, last uint64, err error) {
-	from, to, isRange := strings.Cut(text, "-")
-	if !isRange {
-		to = from
-	}
-	first, err = strconv.ParseUint(from, 10, 64)
-	if err == nil {
-		last, err = strconv.ParseUint(to, 10, 64)
-	}
-	if err != nil || last < first {
-		return 0, 0, steperror.New("lab.sim", "", fmt.Sprintf("--seeds %q: want A or A-B with A not above B", text))
-	}
-	return first, last, nil
-}
-
 // scenarioSummary adds up the results of one scenario.
 type scenarioSummary struct {
 	runs, failed                  int
@@ -105,7 +90,7 @@
 }
 
 func runSim(out io.Writer, flags simFlags) error {
-	first, last, err := parseSeeds(flags.seeds)
+	first, last, err := seedspan.Parse(flags.seeds)
 	if err != nil {
 		return err
 	}
