The soak tells when its own process stood still

Soak broke FLOW beside six soaks and a build; whether the process that plays all targets had stood still could not be told afterwards. A breach of FLOW now says when and for how long it last did. Nothing is excused by it.

--- a/internal/lab/flowrules/oracle.go
+++ b/internal/lab/flowrules/oracle.go
@@ -153,6 +153,8 @@
 	// Calm is set when target and sender have run undisturbed; planned work is
 	// no disturbance.
 	Calm bool
+	// Note is told with a breach, or "".
+	Note string
 }
 
 // Reset checks a reset that reached a caller.
@@ -161,7 +163,7 @@
 	o.report.Resets++
 	o.mutex.Unlock()
 	if reset.Lives && reset.Calm {
-		o.Broke(Flow, "%s reset the flow of %s, whose target %s lives", reset.By, reset.Caller, reset.Target)
+		o.Broke(Flow, "%s reset the flow of %s, whose target %s lives %s", reset.By, reset.Caller, reset.Target, reset.Note)
 	}
 }
 
