--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -15,11 +15,19 @@
 results=$(mktemp -d)
 export BENCH site results
 export small=${SMALL:+--small}
+# twin is the line of the site's first day that says how its small twin looks.
+twin=$(grep -m1 '^small = ' "$site" || true)
+export twin
 
 play() {
-  local name
+  local name day
   name=$(basename "$1" .toml)
-  "$BENCH" run "$site" "$1" $small --jobs 1 --why "own day $name" > "$results/$name" 2>&1
+  day=$1
+  if [ -n "$small" ]; then
+    day="$results/$name.toml"
+    awk -v twin="$twin" '{ print } /^labels = / { print twin }' "$1" > "$day"
+  fi
+  "$BENCH" run "$site" "$day" $small --jobs 1 --why "own day $name" > "$results/$name" 2>&1
   local line
   line=$(grep -E "^$name " "$results/$name" | head -1)
   if [ -z "$line" ] && grep -q "contract .* is not open" "$results/$name"; then
