A leader gives nodes no state of its replay

Cause: within a batch a new leader's log can be committed further than it is applied; a follower minded that, a leader did not and counted as current. Ruled out: waiting too long (0.4 s of 5 s).

Change: no member is current before it has applied what it knows to be committed; a member that becomes current at the end of a batch tells its nodes at once.

--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -225,12 +225,15 @@
 	if c.replica.Node == nil || c.replica.Failed != nil {
 		return false
 	}
+	// Within a batch the log may be committed further than it is applied.
+	if c.replica.Applied < c.replica.Node.Commit() {
+		return false
+	}
 	if c.IsLeader() {
 		return c.replica.Node.HasLease(now)
 	}
 	at, heard := c.replica.Node.HeardLeaderAt()
-	fresh := heard && now.Sub(at) < c.settings.CurrentFor
-	return fresh && c.replica.Node.KnowsCommit() && c.replica.Applied >= c.replica.Node.Commit()
+	return heard && now.Sub(at) < c.settings.CurrentFor && c.replica.Node.KnowsCommit()
 }
 
 // Tick lets time pass. It is called at least ten times a second.
@@ -260,6 +263,9 @@
 func (c *Core) EndBatch(now kernel.Instant) Output {
 	c.batching = false
 	c.flush(now)
+	if c.becameCurrent(now) {
+		c.tickNodes(now)
+	}
 	return c.take()
 }
 
--- a/internal/registry/core_test.go
+++ b/internal/registry/core_test.go
@@ -67,6 +67,8 @@
 	wanted int
 	// events counts the events of all members.
 	events map[eventlog.ID]int
+	// batches lets members handle each frame as a batch of its own, as processes do.
+	batches bool
 	// trace writes the events of all members to the test's log.
 	trace bool
 }
@@ -218,10 +220,21 @@
 		if !known || !m.up || c.cut(next.from, next.to) {
 			continue
 		}
-		c.take(m, m.core.HandleFrame(c.now, next.frame))
+		c.hand(m, next.frame)
 	}
 }
 
+// hand gives a frame to a member.
+func (c *cluster) hand(m *machine, frame wire.Frame) {
+	if !c.batches {
+		c.take(m, m.core.HandleFrame(c.now, frame))
+		return
+	}
+	m.core.BeginBatch()
+	c.take(m, m.core.HandleFrame(c.now, frame))
+	c.take(m, m.core.EndBatch(c.now))
+}
+
 // runUntil lets time pass until a condition holds.
 func (c *cluster) runUntil(limit time.Duration, what string, done func() bool) {
 	end := c.now.Add(limit)
--- a/internal/registry/firststate_test.go
+++ b/internal/registry/firststate_test.go
@@ -33,3 +33,29 @@
 		assert.Len(t, m.updates, nodes, "seed %d", seed)
 	}
 }
+
+// A leader that had just been elected gave its nodes the state of its last snapshot,
+// since it had not applied the log yet: the node dropped the targets that it
+// remembered and could not forward open flows for 130 ms (front-osborne-park-31 of
+// swancoast-geo-large trouble-1, seed 2, revision 1).
+func TestALeaderGivesNodesNoStateOfItsReplay(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newTolerantCluster(t, seed, 3, 1)
+		require.NoError(t, c.submit(c.leader(), put("i-1", "10.1.1.1:1", directory.TargetReady)).Err)
+		for _, name := range c.names() {
+			c.kill(name, true)
+		}
+		c.batches = true
+		for _, name := range c.names() {
+			c.start(name)
+			m := c.machines[name]
+			m.updates = nil
+			c.take(m, m.core.Open(c.now, ConnectionID(1), Subscribe{Node: "edge"}))
+		}
+		for _, name := range c.names() {
+			m := c.machines[name]
+			c.runUntil(5*time.Second, "the node has a state", func() bool { return len(m.updates) > 0 })
+			assert.Len(t, m.updates[0].Targets, 1, "seed %d, %s", seed, name)
+		}
+	}
+}
