What waited at a stopped node is no evidence against targets

Cause: a node that wakes after a freeze reads data and its repetitions at once and takes them for unanswered; routers have taken the callers elsewhere, so no answer shows there. Only the first report after the stop was left out. Two such nodes are enough to hold a living target for lost while its heartbeat is 0.6 s old, and its open flows are reset.

TestWhatWaitedAtAStoppedNodeIsNoEvidence fails without it.

--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -99,6 +99,9 @@
 	// waiting are the flows whose callers wait for an answer.
 	waiting    map[*flowEntry]struct{}
 	reportedAt kernel.Instant
+	// mistakenUntil is when what this node has seen may speak against targets again:
+	// it was stopped for a while.
+	mistakenUntil kernel.Instant
 	// answering are the targets that have answered since the last report, and
 	// missing those that have left opening packets unanswered.
 	answering []*targetEntry
--- a/internal/steer/core_test.go
+++ b/internal/steer/core_test.go
@@ -333,6 +333,29 @@
 	assert.Empty(t, b.core.Report(now, 100*time.Millisecond).Silent)
 }
 
+// 38 nodes woke after 3.5 s and read what had waited, data and its repetitions
+// together; routers had taken their callers elsewhere, so no answer showed. Four
+// open flows of living targets were reset 0.95 s later (patitas-uio-large, mix of
+// hunt ec9566fd).
+func TestWhatWaitedAtAStoppedNodeIsNoEvidence(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	b := booking(t)
+	target := b.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetReady)
+	b.core.Decide(start, opening(1, 0))
+	b.core.Report(start, interval)
+	woken := start.Add(3500 * time.Millisecond)
+	for range 3 {
+		b.core.Decide(woken, data(1, target.Token, 10))
+	}
+	for now := woken; now.Sub(woken) <= time.Second; now = now.Add(interval) {
+		assert.Empty(t, b.core.Report(now, interval).Silent, "%v after it woke", now.Sub(woken))
+	}
+	later := woken.Add(1100 * time.Millisecond)
+	b.core.Report(later, interval)
+	b.core.Decide(later, data(1, target.Token, 10))
+	assert.NotEmpty(t, b.core.Report(later.Add(interval), interval).Silent, "the caller still waits")
+}
+
 func TestFlowsOfALostTargetAreResetAtOnceAndOnlyOnce(t *testing.T) {
 	b := booking(t)
 	target := b.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetReady)
--- a/internal/steer/evidence.go
+++ b/internal/steer/evidence.go
@@ -100,7 +100,9 @@
 }
 
 // Report returns the evidence since the last report. When the node itself was
-// stopped for a while there is none: what it saw is old.
+// stopped for a while there is none: what it saw is old. For a time after that
+// nothing speaks against a target: data that callers had sent again waited here,
+// together with the data itself, and the answers went by other nodes.
 func (c *Core) Report(now kernel.Instant, interval time.Duration) Evidence {
 	c.endOldWaits(now)
 	since := c.reportedAt
@@ -108,10 +110,15 @@
 	answering := c.takeAnswering()
 	var evidence Evidence
 	if now.Sub(since) > 2*interval {
+		if since > 0 {
+			c.mistakenUntil = now.Add(resentTwiceLifetime)
+		}
 		return evidence
 	}
 	evidence.Answering = answering
-	evidence.Silent = c.silentTargets(now)
+	if silent := c.silentTargets(now); !now.Before(c.mistakenUntil) {
+		evidence.Silent = silent
+	}
 	return evidence
 }
 
