--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -4,6 +4,8 @@
 # A kind of trouble that the site does not know is listed as not played.
 #
 #   BENCH=/path/to/bench scripts/play-days.sh SITE [PATTERN] [JOBS]
+#
+# With SMALL=1 a day of a large site is played at a small size.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 : "${BENCH:?set BENCH to the path of the bench}"
@@ -12,11 +14,12 @@
 jobs=${3:-4}
 results=$(mktemp -d)
 export BENCH site results
+export small=${SMALL:+--small}
 
 play() {
   local name
   name=$(basename "$1" .toml)
-  "$BENCH" run "$site" "$1" --jobs 1 --why "own day $name" > "$results/$name" 2>&1
+  "$BENCH" run "$site" "$1" $small --jobs 1 --why "own day $name" > "$results/$name" 2>&1
   local line
   line=$(grep -E "^$name " "$results/$name" | head -1)
   if [ -z "$line" ] && grep -q "contract .* is not open" "$results/$name"; then
--- /dev/null
+++ b/scripts/regressions.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Scores the deployments that are played again before each landing and prints a
+# line for each; exits with 1 when a gate failed. The two large fleets have taken
+# the place of the two deployments that were served first.
+#
+#   BENCH=/path/to/bench scripts/regressions.sh FOLDER [JOBS]
+#
+# FOLDER holds the folders of the users' site files.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+: "${BENCH:?set BENCH to the path of the bench}"
+folder=${1:?name the folder of the site files}
+jobs=${2:-4}
+sites="large/patitas-uio-large large/swancoast-geo-large
+  further/bluemahoe-cores further-grown/bluemahoe-cores-grown
+  grown/patitas-uio-grown grown/swancoast-geo-grown"
+failed=0
+for site in $sites; do
+  output=$("$BENCH" score "$folder/$site.toml" --jobs "$jobs" --why "regressions: $(git log -1 --format=%s)" 2>&1)
+  gate=$(grep -oE '^GATE (passed|failed)' <<< "$output" || echo "no result")
+  echo "$(basename "$site") $(grep -oE '\): [0-9.]+$' <<< "$output" | tr -d '): ') $gate $(grep -oE '^snapshot .*' <<< "$output")"
+  [ "$gate" = "GATE passed" ] || failed=1
+done
+exit $failed
