--- a/scripts/regressions.sh
+++ b/scripts/regressions.sh
@@ -18,7 +18,7 @@
 for site in $sites; do
   output=$("$BENCH" score "$folder/$site.toml" --jobs "$jobs" --why "regressions: $(git log -1 --format=%s)" 2>&1)
   gate=$(grep -oE '^GATE (passed|failed)' <<< "$output" || echo "no result")
-  echo "$(basename "$site") $(grep -oE '\): [0-9.]+$' <<< "$output" | tr -d '): ') $gate $(grep -oE '^snapshot .*' <<< "$output")"
+  echo "$(basename "$site") $(grep -oE '^score .*\): [0-9.]+' <<< "$output" | grep -oE '[0-9.]+$') $gate $(grep -oE '^snapshot .*' <<< "$output")"
   [ "$gate" = "GATE passed" ] || failed=1
 done
 exit $failed
