Evacuation of a zone

An order names the revision that it was given on: a copy that a cut or a change of leader held up changes nothing once another order about the zone was taken. What holds already is acknowledged again. New flows go to other zones, open ones stay; with the last zone that has targets evacuated callers are reset at once (reason "evacuated"). A zone that is neither in the settings nor has targets or members is refused with field and reason. Events 1110 to 1113 and 2104, gauge evacuated_zones.

Two ways for the order of copies: a version the operator states (the platform's calls have none) and the revision of the last order; the second was built.

--- a/internal/directory/command.go
+++ b/internal/directory/command.go
@@ -20,14 +20,17 @@
 	CommandAddMember
 	// CommandRemoveMember removes a control member.
 	CommandRemoveMember
+	// CommandEvacuate begins or ends the evacuation of a zone.
+	CommandEvacuate
 )
 
 // Command is one write to the replicated state.
 type Command struct {
-	Kind   CommandKind
-	Edit   Edit
-	Target Target
-	Member Member
+	Kind       CommandKind
+	Edit       Edit
+	Target     Target
+	Member     Member
+	Evacuation Evacuation
 }
 
 // EncodeCommand returns the bytes of a command for the log.
@@ -41,6 +44,8 @@
 		encodeTarget(&encoder, command.Target)
 	case CommandAddMember, CommandRemoveMember:
 		encodeMember(&encoder, command.Member)
+	case CommandEvacuate:
+		encodeEvacuation(&encoder, command.Evacuation)
 	}
 	return encoder.Buffer
 }
@@ -57,6 +62,8 @@
 		command.Target = decodeTarget(decoder)
 	case CommandAddMember, CommandRemoveMember:
 		command.Member = decodeMember(decoder)
+	case CommandEvacuate:
+		command.Evacuation = decodeEvacuation(decoder)
 	default:
 		return Command{}, steperror.New(step, "", "unknown command kind")
 	}
@@ -71,7 +78,7 @@
 	// CodeDone means that the command is part of the state, also when the
 	// state already held what it asks for.
 	CodeDone Code = iota
-	// CodeConflict means that another edit came first; nothing was changed.
+	// CodeConflict means that another edit or order came first; nothing was changed.
 	CodeConflict
 	// CodeUnknown means that the target is not registered; nothing was changed.
 	CodeUnknown
--- /dev/null
+++ b/internal/directory/evacuation_test.go
@@ -0,0 +1,85 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func evacuate(zone string, active bool, base uint64) Command {
+	return Command{Kind: CommandEvacuate, Evacuation: Evacuation{Zone: zone, Active: active, Revision: base}}
+}
+
+func TestOrdersAboutAZone(t *testing.T) {
+	cases := []struct {
+		name   string
+		orders []Command
+		codes  []Code
+		active bool
+	}{
+		{"begun", []Command{evacuate("a", true, 0)}, []Code{CodeDone}, true},
+		{"begun twice", []Command{evacuate("a", true, 0), evacuate("a", true, 0)}, []Code{CodeDone, CodeDone}, true},
+		{"begun and ended", []Command{evacuate("a", true, 0), evacuate("a", false, 1)}, []Code{CodeDone, CodeDone}, false},
+		{"ended and never begun", []Command{evacuate("a", false, 0)}, []Code{CodeDone}, false},
+		{"a late copy of the beginning", []Command{evacuate("a", true, 0), evacuate("a", false, 1), evacuate("a", true, 0)},
+			[]Code{CodeDone, CodeDone, CodeConflict}, false},
+		{"a late copy of the end", []Command{evacuate("a", true, 0), evacuate("a", false, 1), evacuate("a", true, 2), evacuate("a", false, 1)},
+			[]Code{CodeDone, CodeDone, CodeDone, CodeConflict}, true},
+		{"another zone", []Command{evacuate("b", true, 0), evacuate("b", false, 1)}, []Code{CodeDone, CodeDone}, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			s := New()
+			for position, order := range test.orders {
+				command, err := DecodeCommand(EncodeCommand(order))
+				require.NoError(t, err)
+				assert.Equal(t, test.codes[position], s.Apply(uint64(position+1), command).Code, "order %d", position)
+			}
+			assert.Equal(t, test.active, s.Evacuation("a").Active)
+		})
+	}
+}
+
+func TestUpdatesAndSnapshotsCarryEvacuations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		held := map[string]bool{}
+		seen := uint64(0)
+		for position := range uint64(rapid.IntRange(1, 30).Draw(t, "orders")) {
+			zone := fmt.Sprint("z", rapid.IntRange(0, 2).Draw(t, "zone"))
+			s.Apply(position+1, evacuate(zone, rapid.Bool().Draw(t, "active"), s.Evacuation(zone).Revision))
+			if rapid.Bool().Draw(t, "restored") {
+				restored, err := Decode(s.Encode())
+				require.NoError(t, err)
+				s = restored
+			}
+			if rapid.Bool().Draw(t, "look") {
+				update, err := DecodeUpdate(EncodeUpdate(s.Since(seen)))
+				require.NoError(t, err)
+				for _, evacuation := range update.Evacuations {
+					held[evacuation.Zone] = evacuation.Active
+				}
+				seen = update.Revision
+				for _, evacuation := range s.Evacuations() {
+					assert.Equal(t, evacuation.Active, held[evacuation.Zone], evacuation.Zone)
+				}
+			}
+		}
+	})
+}
+
+// A member that starts with the snapshot of a version that knew no evacuations has
+// none.
+func TestASnapshotWithoutEvacuationsIsRead(t *testing.T) {
+	s := New()
+	s.Apply(1, register("a", "10.0.0.1:1", TargetReady))
+	data := s.Encode()
+	const emptyList = 4
+	restored, err := Decode(data[:len(data)-emptyList])
+	require.NoError(t, err)
+	assert.Empty(t, restored.Evacuations())
+	assert.Len(t, restored.Targets(), 1)
+}
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -55,6 +55,9 @@
 	removed        []uint64
 	memberRevision uint64
 	highestMember  uint32
+	// evacuations holds what was last ordered about each zone. It never shrinks.
+	evacuations        map[string]Evacuation
+	evacuationRevision uint64
 }
 
 // New returns the empty state.
@@ -65,6 +68,8 @@
 
 		addresses: map[netip.AddrPort]*Target{},
 		members:   map[uint32]Member{},
+
+		evacuations: map[string]Evacuation{},
 	}
 }
 
@@ -145,6 +150,8 @@
 		s.addMember(position, command.Member)
 	case CommandRemoveMember:
 		s.removeMember(position, command.Member.ID)
+	case CommandEvacuate:
+		result.Code = s.evacuate(position, command.Evacuation)
 	}
 	return result
 }
@@ -301,6 +308,7 @@
 	for _, identity := range s.removed {
 		encoder.Uint64(identity)
 	}
+	encodeEvacuations(&encoder, s.Evacuations())
 	return encoder.Buffer
 }
 
@@ -332,6 +340,13 @@
 	for count := decoder.Count(identitySize); count > 0; count-- {
 		s.removed = append(s.removed, decoder.Uint64())
 	}
+	// Snapshots of versions that knew no evacuations end here.
+	if decoder.HasMore() {
+		for _, evacuation := range decodeEvacuations(decoder) {
+			s.evacuations[evacuation.Zone] = evacuation
+			s.evacuationRevision = max(s.evacuationRevision, evacuation.Revision)
+		}
+	}
 	return s, steperror.Wrap("directory.decode", "", decoder.Err("directory.decode"))
 }
 
--- a/internal/directory/update.go
+++ b/internal/directory/update.go
@@ -18,6 +18,8 @@
 	Targets []Target
 	// Members is the whole list when it changed, else nil.
 	Members []Member
+	// Evacuations is the whole list when it changed, else nil.
+	Evacuations []Evacuation
 }
 
 // Since returns what changed after a revision, for a node; 0 asks for all. Text
@@ -35,6 +37,9 @@
 	if s.memberRevision > revision || revision == 0 {
 		update.Members = s.Members()
 	}
+	if s.evacuationRevision > revision {
+		update.Evacuations = s.Evacuations()
+	}
 	return update
 }
 
@@ -82,6 +87,7 @@
 	}
 	encodeTargets(&encoder, update.Targets)
 	EncodeMembers(&encoder, update.Members)
+	encodeEvacuations(&encoder, update.Evacuations)
 	return wire.Pack(encoder.Buffer)
 }
 
@@ -123,5 +129,6 @@
 	}
 	update.Targets = decodeTargets(decoder)
 	update.Members = DecodeMembers(decoder)
+	update.Evacuations = decodeEvacuations(decoder)
 	return update, decoder.Err("directory.decode_update")
 }
--- a/internal/directory/validate.go
+++ b/internal/directory/validate.go
@@ -5,18 +5,6 @@
 	"net/netip"
 )
 
-// Problem is a mistake in a configuration.
-type Problem struct {
-	// Field names where the mistake is, for example "routes.login.timeout".
-	Field  string
-	Reason string
-}
-
-var _ error = (*Problem)(nil)
-
-// Error returns the field and the reason.
-func (p *Problem) Error() string { return p.Field + ": " + p.Reason }
-
 // Validate returns the first mistake in the configuration as a Problem, or nil.
 func (c Configuration) Validate() error {
 	if c.Version == 0 {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -26,6 +26,7 @@
 	waitingFlows prometheus.Gauge
 	revision     prometheus.Gauge
 	version      prometheus.Gauge
+	evacuated    prometheus.Gauge
 	// stateAge is how long before a placement the node's member last said that
 	// it was current, in seconds.
 	stateAge prometheus.Histogram
@@ -56,6 +57,7 @@
 		waitingFlows: set.Gauge("waiting_flows", "flows whose callers wait for an answer"),
 		revision:     set.Gauge("revision", "revision of the directory in force"),
 		version:      set.Gauge("configuration_version", "version of the configuration in force"),
+		evacuated:    set.Gauge("evacuated_zones", "zones whose targets take no new flows"),
 		stateAge:     set.Seconds("state_age_seconds", "age of the node's state when it placed a flow"),
 		held:         set.Seconds("held_seconds", "time that callers had waited when packets kept for them were sent"),
 		readyAfter:   set.Seconds("ready_after_seconds", "time from the start of the process until the node was ready"),
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -364,6 +366,7 @@
 func (i updateInput) handle(p *Process, now kernel.Instant) {
 	before := p.core.Version()
 	revision := p.core.Revision()
+	evacuated := p.core.EvacuatedZones()
 	started := time.Now()
 	fits := p.core.Update(i.update)
 	p.metrics.applying.Observe(time.Since(started).Seconds())
@@ -371,6 +374,7 @@
 		p.beats.Follow(i.update.Targets)
 	}
 	p.noteReadiness()
+	p.noteEvacuated(evacuated)
 	p.metrics.revision.Set(float64(p.core.Revision()))
 	p.metrics.version.Set(float64(p.core.Version()))
 	if fits {
@@ -382,6 +386,15 @@
 	i.answer <- updateOutcome{fits: fits, revision: p.core.Revision(), members: p.core.Members()}
 }
 
+// noteEvacuated writes an event when the evacuated zones are others than before.
+func (p *Process) noteEvacuated(before []string) {
+	zones := p.core.EvacuatedZones()
+	p.metrics.evacuated.Set(float64(len(zones)))
+	if !slices.Equal(zones, before) {
+		p.logger.Event(eventlog.ZonesEvacuated, "zones", strings.Join(zones, ","), "revision", p.core.Revision())
+	}
+}
+
 func (p *Process) noteReadiness() {
 	ready := p.core.IsReady()
 	if p.ready.Swap(ready) != ready {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -53,6 +53,11 @@
 	TargetsSuspected   ID = 1091
 	TargetHeldLost     ID = 1092
 	SettingsReloaded   ID = 1100
+
+	EvacuationAccepted   ID = 1110
+	EvacuationRefused    ID = 1111
+	EvacuationUnanswered ID = 1112
+	EvacuationInForce    ID = 1113
 )
 
 // Events of the balancers (2000 to 2999).
@@ -80,6 +85,7 @@
 	DirectoryRefused   ID = 2101
 	MemberNotCurrent   ID = 2102
 	TargetsRemembered  ID = 2103
+	ZonesEvacuated     ID = 2104
 	ReadinessChanged   ID = 2110
 	FlowPlaced         ID = 2120
 	FlowPlacedAgain    ID = 2121
@@ -135,6 +141,10 @@
 	{TargetsSuspected, "targets_suspected", "set of targets not heard from lately changed"},
 	{TargetHeldLost, "target_held_lost", "target is held for dead: callers wait for answers and nobody has a sign of life"},
 	{SettingsReloaded, "settings_reloaded", "settings file read again"},
+	{EvacuationAccepted, "evacuation_accepted", "order about the evacuation of a zone is on the disks of a quorum"},
+	{EvacuationRefused, "evacuation_refused", "order about the evacuation of a zone refused"},
+	{EvacuationUnanswered, "evacuation_unanswered", "the group did not take the order about the evacuation of a zone"},
+	{EvacuationInForce, "evacuation_in_force", "evacuation of a zone began or ended"},
 	{ConfigApplied, "config_applied", "configuration put in force"},
 	{ConfigIgnored, "config_ignored", "configuration older than the one in force ignored"},
 	{LeaseLost, "lease_lost", "lease lapsed and new work is left to other balancers"},
@@ -158,6 +168,7 @@
 	{DirectoryRefused, "directory_refused", "update does not fit what the node has and the whole state is asked for"},
 	{MemberNotCurrent, "member_not_current", "the control member is not current and another one is tried"},
 	{TargetsRemembered, "targets_remembered", "targets from a member's disk taken for open flows, before any member is current"},
+	{ZonesEvacuated, "zones_evacuated", "the zones whose targets take no new flows at this node have changed"},
 	{ReadinessChanged, "readiness_changed", "node reports another readiness"},
 	{FlowPlaced, "flow_placed", "new flow sent to a target"},
 	{FlowPlacedAgain, "flow_placed_again", "copy of an opening packet sent to another target"},
--- a/internal/hosting/calls.go
+++ b/internal/hosting/calls.go
@@ -30,6 +30,20 @@
 	http.Error(writer, "not taken", http.StatusServiceUnavailable)
 }
 
+// Answer ends a call whose outcome must be known to hold.
+func Answer(writer http.ResponseWriter, err error) {
+	if err != nil {
+		Unavailable(writer)
+		return
+	}
+	WriteJSON(writer, http.StatusOK, []byte("{}"))
+}
+
+// Refuse tells a caller that what it sent is wrong, and why.
+func Refuse(writer http.ResponseWriter, err error) {
+	http.Error(writer, err.Error(), http.StatusBadRequest)
+}
+
 // WriteLastJSON answers a call with a JSON body and closes the connection: the
 // caller's later calls go elsewhere, and an idle connection costs memory and a
 // descriptor.
--- a/internal/hosting/hosting.go
+++ b/internal/hosting/hosting.go
@@ -44,12 +44,16 @@
 	return nil
 }
 
-// ServeMetrics serves metrics at a path of an address. A failure is logged and
-// does not end the process.
-func ServeMetrics(address, path string, handler http.Handler, logger *eventlog.Logger) {
+// ServeMetrics serves metrics at a place of an IP number, written as PORT/PATH;
+// an empty place asks for none. A failure is logged and does not end the process.
+func ServeMetrics(ip, place string, handler http.Handler, logger *eventlog.Logger) {
+	port, path, found := strings.Cut(place, "/")
+	if !found {
+		return
+	}
 	mux := http.NewServeMux()
-	mux.Handle("GET "+path, handler)
-	if err := Serve(address, mux); err != nil {
+	mux.Handle("GET /"+path, handler)
+	if err := Serve(net.JoinHostPort(ip, port), mux); err != nil {
 		logger.Event(eventlog.SocketFailed, "err", err)
 	}
 }
--- a/internal/lab/fleetsim/caller.go
+++ b/internal/lab/fleetsim/caller.go
@@ -48,15 +48,6 @@
 	}
 }
 
-// nearby returns the product's choice of targets.
-func nearby() steer.Chooser {
-	plugin, err := kernel.New(steer.ChoiceNearby)
-	if err != nil {
-		panic(err)
-	}
-	return plugin.(steer.Chooser)
-}
-
 func ignoreOutcome(registry.Outcome) {}
 
 // caller sends one request after the other, over one flow as long as it lasts.
--- a/internal/lab/fleetsim/edge.go
+++ b/internal/lab/fleetsim/edge.go
@@ -52,7 +52,6 @@
 	settings := steer.DefaultSettings()
 	settings.Zone = e.zone
 	settings.Random = e.world.random
-	settings.Chooser = nearby()
 	e.core = steer.New(settings)
 	e.follower = steer.NewFollower(steer.NewMemberList(e.zone, steer.WithShuffle(e.world.random.Shuffle)), e.world.random)
 	e.seeds = e.world.seeds()
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/directory"
@@ -88,6 +90,41 @@
 	return "", err
 }
 
+// Evacuate begins or ends the evacuation of a zone. It returns once a quorum has
+// the order on disk. An order that has been overtaken by another one since it came
+// fails; what holds may be another one then.
+func (p *Process) Evacuate(ctx context.Context, zone string, active bool) error {
+	unknown := false
+	result, err := p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
+		if unknown = !p.hasZone(core, zone); unknown {
+			return 0, Output{}
+		}
+		order := directory.Evacuation{Zone: zone, Active: active, Revision: core.State().Evacuation(zone).Revision}
+		return core.Submit(now, directory.Command{Kind: directory.CommandEvacuate, Evacuation: order})
+	})
+	switch {
+	case err != nil:
+		p.logger.Event(eventlog.EvacuationUnanswered, "zone", zone, "active", active, "err", err)
+		return err
+	case unknown:
+		problem := &directory.Problem{Field: "zone", Reason: fmt.Sprintf("%q is not known", zone)}
+		p.logger.Event(eventlog.EvacuationRefused, "zone", zone, "active", active, "reason", problem)
+		return problem
+	case result.Code != directory.CodeDone:
+		err = steperror.New("registry.evacuate", p.settings.Name, "another order about the zone came first")
+		p.logger.Event(eventlog.EvacuationUnanswered, "zone", zone, "active", active, "err", err)
+		return err
+	}
+	p.logger.Event(eventlog.EvacuationAccepted, "zone", zone, "active", active, "revision", result.Revision)
+	return nil
+}
+
+// hasZone reports whether a zone is among those of the settings, or has a target or
+// a member.
+func (p *Process) hasZone(core *Core, zone string) bool {
+	return slices.Contains(p.settings.Zones, zone) || core.State().HasZone(zone)
+}
+
 // End takes the word of a target that it ends.
 func (p *Process) End(ctx context.Context, id string) error {
 	_, err := p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
--- a/internal/registry/host.go
+++ b/internal/registry/host.go
@@ -77,6 +77,8 @@
 		target, _ := c.state.Target(command.Target.ID)
 		c.log(eventlog.TargetStage, "target", target.ID, "token", target.Token, "service", target.Service,
 			"address", target.Address, "state", target.State, "revision", result.Revision)
+	case directory.CommandEvacuate:
+		c.log(eventlog.EvacuationInForce, "zone", command.Evacuation.Zone, "active", command.Evacuation.Active, "revision", result.Revision)
 	case directory.CommandAddMember, directory.CommandRemoveMember:
 		c.log(eventlog.MembersChanged, "kind", command.Kind, "member", command.Member.ID,
 			"address", command.Member.Address, "revision", result.Revision)
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -38,6 +38,8 @@
 	Name       string
 	DataFolder string
 	Core       CoreSettings
+	// Zones are the zones that are known from the settings.
+	Zones []string
 	// Spread changes how heartbeats are passed on to nodes.
 	Spread []heartbeat.SpreadOption
 	// CallAddress returns where targets call a member that other members reach at
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -32,6 +32,7 @@
 // DefaultSettings returns the settings of a node in production.
 func DefaultSettings() Settings {
 	return Settings{
+		Chooser:         &nearbyChoice{},
 		DoubtFor:        3 * time.Second,
 		AnswerTime:      100 * time.Millisecond,
 		OpeningLifetime: 3 * time.Second,
@@ -107,7 +108,11 @@
 	answering []*targetEntry
 	missing   map[*targetEntry]bool
 	members   []directory.Member
+	// evacuated are the zones whose targets take no new flows.
+	evacuated map[string]bool
 
+	// opened, usable and candidates are the lists of the last choice.
+	opened     []*targetEntry
 	usable     []*targetEntry
 	candidates []Candidate
 }
@@ -124,6 +129,7 @@
 		unanswered: map[FlowKey]*flowEntry{},
 		waiting:    map[*flowEntry]struct{}{},
 		missing:    map[*targetEntry]bool{},
+		evacuated:  map[string]bool{},
 	}
 }
 
@@ -147,6 +153,18 @@
 	return 0
 }
 
+// EvacuatedZones returns the zones whose targets take no new flows, in order.
+func (c *Core) EvacuatedZones() []string {
+	var zones []string
+	for zone, active := range c.evacuated {
+		if active {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
 // Flows returns the number of flows that are counted.
 func (c *Core) Flows() int { return len(c.flows) }
 
@@ -186,6 +204,9 @@
 	if update.Members != nil {
 		c.members = update.Members
 	}
+	for _, evacuation := range update.Evacuations {
+		c.evacuated[evacuation.Zone] = evacuation.Active
+	}
 	c.revision = update.Revision
 	return true
 }
--- /dev/null
+++ b/internal/steer/evacuation_test.go
@@ -0,0 +1,76 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+)
+
+// evacuate gives an order about a zone and hands the update to the core.
+func (b *bench) evacuate(now kernel.Instant, zone string, active bool) {
+	order := directory.Evacuation{Zone: zone, Active: active, Revision: b.state.Evacuation(zone).Revision}
+	b.apply(now, directory.Command{Kind: directory.CommandEvacuate, Evacuation: order})
+}
+
+func TestNewFlowsAvoidAnEvacuatedZoneAndOpenOnesStay(t *testing.T) {
+	b := booking(t)
+	near := b.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetReady)
+	far := b.target(start, "i-2", "booking", "south", "10.0.0.2:1", directory.TargetReady)
+	assert.Equal(t, near.ID, b.core.Decide(start, opening(1, 0)).Target.ID)
+	b.evacuate(start, "north", true)
+	assert.Equal(t, []string{"north"}, b.core.EvacuatedZones())
+	for port := range uint16(20) {
+		assert.Equal(t, far.ID, b.core.Decide(start, opening(100+port, 0)).Target.ID)
+	}
+	assert.Equal(t, near.ID, b.core.Decide(start, following(50, near.Token, 1)).Target.ID, "an open flow stays")
+	b.evacuate(start, "north", false)
+	assert.Empty(t, b.core.EvacuatedZones())
+}
+
+// A copy that comes soon after its opening packet goes to the same target, unless
+// that may get nothing new any more.
+func TestACopyDoesNotFollowItsOpeningPacketIntoAnEvacuatedZone(t *testing.T) {
+	b := booking(t)
+	near := b.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetReady)
+	far := b.target(start, "i-2", "booking", "south", "10.0.0.2:1", directory.TargetReady)
+	assert.Equal(t, near.ID, b.core.Decide(start, opening(1, 0)).Target.ID)
+	b.evacuate(start, "north", true)
+	soon := start.Add(b.core.settings.AnswerTime / 2)
+	assert.Equal(t, far.ID, b.core.Decide(soon, opening(1, 1)).Target.ID)
+}
+
+// With the last zone that has targets evacuated there is nobody to serve a new
+// flow: its caller is told at once, and the order holds.
+func TestTheEvacuationOfTheLastZoneIsAClearAnswer(t *testing.T) {
+	b := booking(t)
+	north := b.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetReady)
+	b.target(start, "i-2", "booking", "south", "10.0.0.2:1", directory.TargetReady)
+	b.target(start, "i-3", "other", "west", "10.0.0.3:1", directory.TargetReady)
+	b.evacuate(start, "north", true)
+	b.evacuate(start, "south", true)
+	assert.True(t, b.core.IsReady())
+	decision := b.core.Decide(start, opening(1, 0))
+	assert.Equal(t, ActionReset, decision.Action)
+	assert.Equal(t, ReasonEvacuated, decision.Reason)
+	assert.Equal(t, north.ID, b.core.Decide(start, following(50, north.Token, 1)).Target.ID)
+	b.core.Judge([]directory.Token{north.Token}, nil)
+	assert.Equal(t, ReasonEvacuated, b.core.Decide(start, opening(2, 0)).Reason, "doubt about targets opens no way there")
+	b.evacuate(start, "south", false)
+	later := start.Add(time.Minute)
+	assert.Equal(t, "i-2", b.core.Decide(later, opening(3, 0)).Target.ID)
+}
+
+// A node that starts takes no packet before it knows the evacuated zones.
+func TestANodeThatStartsKnowsTheEvacuatedZones(t *testing.T) {
+	b := booking(t)
+	b.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetReady)
+	b.target(start, "i-2", "booking", "south", "10.0.0.2:1", directory.TargetReady)
+	b.evacuate(start, "north", true)
+	fresh := New(b.core.settings)
+	assert.True(t, fresh.Update(b.state.Since(0)))
+	assert.Equal(t, "i-2", fresh.Decide(start, opening(1, 0)).Target.ID)
+}
--- a/internal/steer/packet.go
+++ b/internal/steer/packet.go
@@ -69,6 +69,9 @@
 	ReasonNoRoute
 	// ReasonNoTarget is a new flow to a service without a target that takes flows.
 	ReasonNoTarget
+	// ReasonEvacuated is a new flow to a service whose targets all stand in zones
+	// that are being evacuated.
+	ReasonEvacuated
 	// ReasonEnded is a packet of a flow whose target has surely ended.
 	ReasonEnded
 	// ReasonLost is a packet of a flow whose target the control members hold
@@ -97,7 +100,7 @@
 // String returns the reason as a word for logs and counters.
 func (r Reason) String() string {
 	return [...]string{
-		"placed", "placed_again", "token", "no_route", "no_target", "ended", "lost",
+		"placed", "placed_again", "token", "no_route", "no_target", "evacuated", "ended", "lost",
 		"unknown_token", "no_token", "forged", "not_ready",
 	}[r]
 }
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -17,7 +17,7 @@
 	}
 	reason := ReasonPlaced
 	flow, known := c.flows[packet.Flow]
-	if known && packet.Copy > 0 && (flow.opened || now.Sub(flow.placedAt) < c.settings.AnswerTime) {
+	if known && packet.Copy > 0 && c.keepsTarget(now, flow) {
 		return Decision{Action: ActionForward, Reason: ReasonToken, Target: flow.target.target, Route: entry.route.Name}
 	}
 	if known && packet.Copy > 0 {
@@ -34,6 +34,17 @@
 	return decision
 }
 
+// keepsTarget reports whether a copy of an opening packet goes where the one before
+// went: the flow is open, or its target has had no time to answer yet. One that
+// stands in a zone which has been evacuated since gets no further packet of a flow
+// that is not open.
+func (c *Core) keepsTarget(now kernel.Instant, flow *flowEntry) bool {
+	if flow.opened {
+		return true
+	}
+	return now.Sub(flow.placedAt) < c.settings.AnswerTime && !c.evacuated[flow.target.target.Zone]
+}
+
 func (c *Core) notePlaced(now kernel.Instant, packet Packet, target *targetEntry) {
 	flow, known := c.flows[packet.Flow]
 	if known && packet.Copy == 0 {
@@ -80,7 +91,17 @@
 			Doubtful:   doubtful,
 		}, chosen
 	}
-	return Decision{Action: ActionReset, Reason: ReasonNoTarget}, nil
+	return Decision{Action: ActionReset, Reason: c.refusal(entry)}, nil
+}
+
+// refusal returns why no target takes a new flow of a route.
+func (c *Core) refusal(entry *routeEntry) Reason {
+	for _, backend := range entry.route.Backends {
+		if backend.Weight > 0 && len(c.services[backend.Service]) > 0 {
+			return ReasonEvacuated
+		}
+	}
+	return ReasonNoTarget
 }
 
 func (c *Core) backendByWeight(entry *routeEntry) int {
@@ -99,9 +120,10 @@
 
 // listUsable fills the list of candidates of a service and returns how many
 // doubtful ones were passed over. When only doubtful ones are left, those that
-// were not tried are used; when all were tried, all are.
+// were not tried are used; when all were tried, all are. Those of evacuated zones
+// never are.
 func (c *Core) listUsable(now kernel.Instant, service string, tried []directory.Token) int {
-	all := c.services[service]
+	all := c.open(c.services[service])
 	doubtful := 0
 	c.startList()
 	for _, entry := range all {
@@ -130,6 +152,17 @@
 	return 0
 }
 
+// open returns the targets that stand in no evacuated zone.
+func (c *Core) open(all []*targetEntry) []*targetEntry {
+	c.opened = c.opened[:0]
+	for _, entry := range all {
+		if !c.evacuated[entry.target.Zone] {
+			c.opened = append(c.opened, entry)
+		}
+	}
+	return c.opened
+}
+
 func (c *Core) startList() {
 	c.usable = c.usable[:0]
 	c.candidates = c.candidates[:0]
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -159,6 +159,9 @@
 	return count
 }
 
+// HasMore reports whether there are bytes that have not been read.
+func (d *Decoder) HasMore() bool { return !d.failed && len(d.buffer) > 0 }
+
 // Rest returns all bytes not yet read.
 func (d *Decoder) Rest() []byte { return d.take(len(d.buffer)) }
 
--- a/scripts/check-platform.sh
+++ b/scripts/check-platform.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 imports=$(grep -rl '"github.com/beamdoor/beamdoor/platform' --include='*.go' internal cmd | grep -v '^cmd/[^/]*/main\.go$' || true)
-names=$(grep -rlE 'BEAMDOOR_NODE_FILE|Beamdoor-(Attempt|Server|Instance|Not)|/-/(config|instances|readiness)|seedNodes|trafficSplit|heartbeatUrl|warmupLeftMs|pathPrefix|routeType|callSeq|dataDir' --include='*.go' internal cmd || true)
+names=$(grep -rlE 'BEAMDOOR_NODE_FILE|Beamdoor-(Attempt|Server|Instance|Not)|/-/(config|instances|readiness|evacuations)|seedNodes|trafficSplit|heartbeatUrl|warmupLeftMs|pathPrefix|routeType|callSeq|dataDir' --include='*.go' internal cmd || true)
 deployments=$(grep -rliE 'patitas|swancoast|bluemahoe|agenda|documentos|corelog|coreimage|lookup-core|tile-depot|kgn-|uio-|osborne|malaga|canning|welshpool|bibra|joondalup|triage|slot-booking|cert-download|suggest-stream|verify-submit|tile-fetch|log-feed|interval-entry|box-photo|quiet-[0-9]|scale-[0-9]|trouble-[0-9]' --include='*.go' internal cmd platform deploy | grep -v -e '_test\.go$' -e '^internal/lab/' || true)
 if [ -n "$imports$names$deployments" ]; then
   echo "imports the platform's adapter: ${imports:-none}"
