Voters are spread over the zones, so that the loss of any one leaves a quorum

Cause: read in the code and shown by a test: a learner was made a voter by its number alone and the stated tolerance of zones was not read, so that after some replacements three of five voters stood in one zone and its loss stopped control.

Change: a learner of the zone with the fewest voters votes first; with a tolerance of zones stated, a voter is moved when two zones differ by two or more: one more voter in the zone with too few, then one fewer where there are too many, so that the group bears no less in between. A group that cannot bear the loss says so (event 1067, gauge bears_lost_zones, `beamdoor-node check`).

Two ways: to put back the voter of the crowded zone first (four voters for a moment, one more loss stops the group) and to add the other one first; the second was built.

--- a/cmd/beamdoor-node/main.go
+++ b/cmd/beamdoor-node/main.go
@@ -66,7 +66,11 @@
 		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
 		ValidArgs: []string{string(platform.RoleEdge), string(platform.RoleMember)},
 		Run: func(cmd *cobra.Command, arguments []string) {
-			if _, err := platform.ReadSettings(*file, platform.Role(arguments[0])); err != nil {
+			settings, err := platform.ReadSettings(*file, platform.Role(arguments[0]))
+			if err == nil {
+				err = settings.CheckLayout()
+			}
+			if err != nil {
 				fmt.Fprintln(cmd.ErrOrStderr(), "beamdoor-node:", err)
 				os.Exit(exitUsage)
 			}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -15,44 +15,45 @@
 
 // Events of the control members (1000 to 1999).
 const (
-	ProcessStarted     ID = 1000
-	ProcessStopped     ID = 1001
-	StopRequested      ID = 1002
-	RoleChanged        ID = 1010
-	SnapshotSaved      ID = 1011
-	SnapshotInstalled  ID = 1012
-	DiskFailed         ID = 1013
-	TailCut            ID = 1014
-	GroupFounded       ID = 1015
-	FoundingRefused    ID = 1016
-	BadFrame           ID = 1020
-	PeerConnected      ID = 1021
-	PeerLost           ID = 1022
-	ViewChanged        ID = 1030
-	BalancerExpired    ID = 1031
-	LeaderStalled      ID = 1032
-	WriteAccepted      ID = 1040
-	WriteRefused       ID = 1041
-	PolicyFailed       ID = 1050
-	TargetVerdict      ID = 1051
-	MemberNumbered     ID = 1060
-	MembersChanged     ID = 1061
-	MembershipProposed ID = 1062
-	MembershipRefused  ID = 1063
-	MemberRemoved      ID = 1064
-	GroupSizeChanged   ID = 1065
-	QuorumMissing      ID = 1066
-	NodeSubscribed     ID = 1070
-	NodeReferred       ID = 1071
-	VersionAccepted    ID = 1080
-	VersionRefused     ID = 1081
-	VersionUnanswered  ID = 1082
-	VersionInForce     ID = 1083
-	RequestGivenUp     ID = 1084
-	TargetStage        ID = 1090
-	TargetsSuspected   ID = 1091
-	TargetHeldLost     ID = 1092
-	SettingsReloaded   ID = 1100
+	ProcessStarted       ID = 1000
+	ProcessStopped       ID = 1001
+	StopRequested        ID = 1002
+	RoleChanged          ID = 1010
+	SnapshotSaved        ID = 1011
+	SnapshotInstalled    ID = 1012
+	DiskFailed           ID = 1013
+	TailCut              ID = 1014
+	GroupFounded         ID = 1015
+	FoundingRefused      ID = 1016
+	BadFrame             ID = 1020
+	PeerConnected        ID = 1021
+	PeerLost             ID = 1022
+	ViewChanged          ID = 1030
+	BalancerExpired      ID = 1031
+	LeaderStalled        ID = 1032
+	WriteAccepted        ID = 1040
+	WriteRefused         ID = 1041
+	PolicyFailed         ID = 1050
+	TargetVerdict        ID = 1051
+	MemberNumbered       ID = 1060
+	MembersChanged       ID = 1061
+	MembershipProposed   ID = 1062
+	MembershipRefused    ID = 1063
+	MemberRemoved        ID = 1064
+	GroupSizeChanged     ID = 1065
+	QuorumMissing        ID = 1066
+	ZoneToleranceChanged ID = 1067
+	NodeSubscribed       ID = 1070
+	NodeReferred         ID = 1071
+	VersionAccepted      ID = 1080
+	VersionRefused       ID = 1081
+	VersionUnanswered    ID = 1082
+	VersionInForce       ID = 1083
+	RequestGivenUp       ID = 1084
+	TargetStage          ID = 1090
+	TargetsSuspected     ID = 1091
+	TargetHeldLost       ID = 1092
+	SettingsReloaded     ID = 1100
 
 	EvacuationAccepted   ID = 1110
 	EvacuationRefused    ID = 1111
@@ -130,6 +131,7 @@
 	{MemberRemoved, "member_removed", "the group has removed this member, which begins anew with an empty folder"},
 	{GroupSizeChanged, "group_size_changed", "the group became too small for the losses that it must bear, or large enough"},
 	{QuorumMissing, "quorum_missing", "this member has heard no leader for long: too few voters can be reached"},
+	{ZoneToleranceChanged, "zone_tolerance_changed", "the voters of the group became unable to bear the loss of the stated zones, or able again"},
 	{NodeSubscribed, "node_subscribed", "node asked for updates"},
 	{NodeReferred, "node_referred", "node that knows only seeds was sent on to members of its zone"},
 	{VersionAccepted, "version_accepted", "configuration is on the disks of a quorum"},
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -98,6 +98,13 @@
 	return m
 }
 
+// Demote returns the membership with a voter made a learner.
+func (m Membership) Demote(id MemberID) Membership {
+	m.Voters = without(m.Voters, id)
+	m.Learners = with(m.Learners, id)
+	return m
+}
+
 // Remove returns the membership without the member.
 func (m Membership) Remove(id MemberID) Membership {
 	m.Voters = without(m.Voters, id)
--- a/internal/registry/core_test.go
+++ b/internal/registry/core_test.go
@@ -63,8 +63,11 @@
 	flights  []flight
 	order    int
 	cut      func(from, to string) bool
-	// wanted is the number of voters that members keep.
-	wanted int
+	// wanted is the number of voters that members keep, and lostZones that of the
+	// zones whose loss they bear.
+	wanted, lostZones int
+	// zoneOf returns the zone of a member.
+	zoneOf func(name string) string
 	// events counts the events of all members.
 	events map[eventlog.ID]int
 	// batches lets members handle each frame as a batch of its own, as processes do.
@@ -81,6 +84,7 @@
 		machines: map[string]*machine{},
 		cut:      func(string, string) bool { return false },
 		wanted:   3,
+		zoneOf:   func(string) string { return "zone" },
 		events:   map[eventlog.ID]int{},
 	}
 	for number := range members {
@@ -110,10 +114,11 @@
 	require.NoError(c, err)
 	settings := DefaultCoreSettings()
 	settings.Address = name
-	settings.Zone = "zone"
+	settings.Zone = c.zoneOf(name)
 	settings.Seeds = c.seeds
 	settings.Bootstrap = m.bootstrap
 	settings.Voters = c.wanted
+	settings.LostZones = c.lostZones
 	settings.Raft.Identity = identity
 	settings.Raft.Random = c.random
 	m.core, err = NewCore(c.now, settings, log, restored)
--- a/internal/registry/groupsize.go
+++ b/internal/registry/groupsize.go
@@ -15,6 +15,8 @@
 type groupSizeWatch struct {
 	// small is set while the group has fewer voters than its tolerance needs.
 	small bool
+	// exposed is set while the loss of some zones would leave no quorum.
+	exposed bool
 	// nextNoQuorum is when the next event about a missing quorum may be written.
 	nextNoQuorum kernel.Instant
 }
@@ -39,6 +41,7 @@
 		c.log(eventlog.GroupSizeChanged, "too_small", c.groupSize.small,
 			"voters", c.Voters(), "voters_needed", c.settings.Voters, "members", len(c.state.Members()))
 	}
+	c.watchZones()
 	if c.replica.Node == nil || now.Before(c.groupSize.nextNoQuorum) || !c.needsPlace(now) {
 		return
 	}
--- a/internal/registry/membership.go
+++ b/internal/registry/membership.go
@@ -242,8 +242,9 @@
 }
 
 // nextMembership returns the next step: wiped members leave first, then new
-// ones learn, then learners fill the places of voters that are missing, and
-// last a silent voter gives way to a learner that is ready.
+// ones learn, then learners fill the places of voters that are missing, then a
+// silent voter gives way to a learner that is ready, and last the voters are
+// spread over the zones.
 func (c *Core) nextMembership(now kernel.Instant) (raft.Membership, string, bool) {
 	membership := c.replica.Node.Membership()
 	if id, found := c.replacedMember(membership); found {
@@ -255,6 +256,13 @@
 			return membership.AddLearner(id, member.Identity).WithAddress(id, member.Address), "new member", true
 		}
 	}
+	silent, isSilent := c.silentVoter(now, membership)
+	if c.settings.LostZones > 0 && len(membership.Voters) > c.settings.Voters {
+		if isSilent {
+			return membership.Remove(silent), "voter is silent and there are enough", true
+		}
+		return membership.Demote(c.crowdedVoter(membership)), "its zone has the most voters", true
+	}
 	ready, found := c.readyLearner(now, membership)
 	if !found {
 		return membership, "", false
@@ -262,9 +270,12 @@
 	if len(membership.Voters) < c.settings.Voters {
 		return membership.Promote(ready), "voter is missing", true
 	}
-	if silent, found := c.silentVoter(now, membership); found {
+	if isSilent {
 		return membership.Remove(silent), "voter is silent and a learner is ready", true
 	}
+	if c.isMisplaced(membership, ready) {
+		return membership.Promote(ready), "its zone has too few voters", true
+	}
 	return membership, "", false
 }
 
@@ -306,14 +317,18 @@
 	return id == c.settings.Raft.ID || c.silenceOf(now, id) < limit
 }
 
-// readyLearner finds a learner that is up and has the whole committed log.
+// readyLearner finds a learner that is up and has the whole committed log: of
+// several, one in the zone with the fewest voters.
 func (c *Core) readyLearner(now kernel.Instant, membership raft.Membership) (raft.MemberID, bool) {
+	voters := c.votersByZone(membership)
+	best := raft.NoMember
 	for _, id := range slices.Sorted(slices.Values(membership.Learners)) {
-		if c.replica.Node.Match(id) >= c.replica.Node.Commit() && c.isLive(now, id, c.settings.Raft.ElectionTimeout) {
-			return id, true
+		ready := c.replica.Node.Match(id) >= c.replica.Node.Commit() && c.isLive(now, id, c.settings.Raft.ElectionTimeout)
+		if ready && (best == raft.NoMember || voters[c.zoneOf(id)] < voters[c.zoneOf(best)]) {
+			best = id
 		}
 	}
-	return raft.NoMember, false
+	return best, best != raft.NoMember
 }
 
 // silentVoter finds the voter that has been silent for the longest time.
--- a/internal/registry/metrics.go
+++ b/internal/registry/metrics.go
@@ -27,6 +27,9 @@
 	// votersMissing is how many voters the stated tolerance needs and the group
 	// has not.
 	votersMissing prometheus.Gauge
+	// bearsLostZones is 1 while the voters bear the loss of the zones that the
+	// settings state.
+	bearsLostZones prometheus.Gauge
 	// requests is the time from a call to its outcome, in seconds.
 	requests prometheus.Histogram
 	// saves is the time that the disk takes to make a batch last, in seconds.
@@ -42,32 +45,30 @@
 func newMetrics() *metrics {
 	set := hosting.NewMetrics("member")
 	return &metrics{
-		set:           set,
-		leader:        set.Gauge("leader", "1 while this member leads"),
-		term:          set.Gauge("term", "term of the replicated log"),
-		revision:      set.Gauge("revision", "log position of the last change"),
-		version:       set.Gauge("configuration_version", "version of the configuration that holds"),
-		nodes:         set.Gauge("nodes", "subscribed nodes"),
-		targets:       set.Gauge("targets", "remembered targets"),
-		suspects:      set.Gauge("suspects", "targets not heard from lately"),
-		lost:          set.Gauge("lost", "targets held for dead"),
-		voters:        set.Gauge("voters", "voters of the group that this member knows of"),
-		votersMissing: set.Gauge("voters_missing", "voters that the stated tolerance needs and the group has not"),
-		requests:      set.Seconds("request_seconds", "time from a call to its outcome"),
-		saves:         set.Seconds("save_seconds", "time of the disk to make a batch last"),
-		frames:        set.CounterVec("frame_bytes_total", "bytes of frames sent to members and nodes", "kind"),
-		referrals:     set.Counter("referrals_total", "nodes that were sent on to another member"),
-		leaderless:    set.Counter("leaderless_seconds_total", "time without a known leader"),
+		set:            set,
+		leader:         set.Gauge("leader", "1 while this member leads"),
+		term:           set.Gauge("term", "term of the replicated log"),
+		revision:       set.Gauge("revision", "log position of the last change"),
+		version:        set.Gauge("configuration_version", "version of the configuration that holds"),
+		nodes:          set.Gauge("nodes", "subscribed nodes"),
+		targets:        set.Gauge("targets", "remembered targets"),
+		suspects:       set.Gauge("suspects", "targets not heard from lately"),
+		lost:           set.Gauge("lost", "targets held for dead"),
+		voters:         set.Gauge("voters", "voters of the group that this member knows of"),
+		votersMissing:  set.Gauge("voters_missing", "voters that the stated tolerance needs and the group has not"),
+		bearsLostZones: set.Gauge("bears_lost_zones", "1 while a quorum is left after the loss of the zones that must be borne"),
+		requests:       set.Seconds("request_seconds", "time from a call to its outcome"),
+		saves:          set.Seconds("save_seconds", "time of the disk to make a batch last"),
+		frames:         set.CounterVec("frame_bytes_total", "bytes of frames sent to members and nodes", "kind"),
+		referrals:      set.Counter("referrals_total", "nodes that were sent on to another member"),
+		leaderless:     set.Counter("leaderless_seconds_total", "time without a known leader"),
 	}
 }
 
 // observe copies the state of the core.
 func (m *metrics) observe(core *Core) {
-	leader := 0.0
-	if core.IsLeader() {
-		leader = 1
-	}
-	m.leader.Set(leader)
+	m.leader.Set(flag(core.IsLeader()))
+	m.bearsLostZones.Set(flag(core.BearsLostZones()))
 	m.term.Set(float64(core.replica.Term))
 	m.revision.Set(float64(core.state.Revision()))
 	m.version.Set(float64(core.state.Configuration().Version))
@@ -79,6 +80,14 @@
 	m.suspects.Set(float64(len(core.liveness.verdicts.Suspects)))
 }
 
+// flag returns the value of a gauge that is 1 or 0.
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // countFrame counts a frame that is sent to a member or a node.
 func (m *metrics) countFrame(frame wire.Frame) {
 	m.frames.WithLabelValues(frame.Kind.String()).Add(float64(wire.FrameSize(frame)))
--- a/internal/registry/settings.go
+++ b/internal/registry/settings.go
@@ -18,6 +18,9 @@
 	Bootstrap bool
 	// Voters is the number of voters to keep.
 	Voters int
+	// LostZones is the number of zones whose loss at once must leave a quorum of
+	// voters; 0 means that none need be borne.
+	LostZones int
 	// JoinInterval is the time between two requests for a place.
 	JoinInterval time.Duration
 	// ReplaceAfter is the silence after which a voter gives way to a learner.
--- /dev/null
+++ b/internal/registry/zones_test.go
@@ -0,0 +1,151 @@
+package registry
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+)
+
+// zonesOfTest is the number of zones in which members stand by turns.
+const zonesOfTest = 3
+
+// newZonedCluster returns a group of members in three zones that bears the loss of
+// two disks or of one zone.
+func newZonedCluster(t *testing.T, seed uint64, members int) *cluster {
+	c := newCluster(t, seed, 0)
+	c.wanted = 5
+	c.lostZones = 1
+	zones := map[string]string{}
+	c.zoneOf = func(name string) string { return zones[name] }
+	for number := range members {
+		zones[address(number+1)] = fmt.Sprint("zone-", number%zonesOfTest)
+	}
+	for number := range seedsOfPlatform {
+		c.seeds = append(c.seeds, address(number+1))
+	}
+	for number := range members {
+		c.add(address(number+1), true)
+	}
+	c.waitForSpread()
+	return c
+}
+
+// votersIn counts the voters of each zone, as the leader knows them.
+func (c *cluster) votersIn() map[string]int {
+	leader := c.leader()
+	if leader == nil {
+		return nil
+	}
+	return leader.core.votersByZone(leader.core.Raft().Membership())
+}
+
+// waitForSpread waits until the voters are as many as wanted and no zone has more
+// than two of five.
+func (c *cluster) waitForSpread() {
+	c.runUntil(15*time.Second, "the voters are spread", func() bool {
+		leader := c.leader()
+		return leader != nil && len(c.voters()) == c.wanted && leader.core.BearsLostZones()
+	})
+}
+
+// inZone returns the members of a zone.
+func (c *cluster) inZone(zone string) []string {
+	var names []string
+	for _, name := range c.names() {
+		if c.zoneOf(name) == zone {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// loseZone ends all members of a zone for a while.
+func (c *cluster) loseZone(zone string, duration time.Duration) {
+	for _, name := range c.inZone(zone) {
+		c.kill(name, true)
+	}
+	c.run(duration)
+	for _, name := range c.inZone(zone) {
+		c.start(name)
+	}
+}
+
+// A learner was made a voter by its number alone, so that after some replacements
+// three of five voters stood in one zone, and its loss stopped the group.
+func TestVotersAreSpreadOverZonesAfterReplacements(t *testing.T) {
+	for seed := range uint64(15) {
+		c := newZonedCluster(t, seed, 9)
+		for round := range 4 {
+			victims := c.inZone(fmt.Sprint("zone-", (round+int(seed))%zonesOfTest))
+			for _, name := range victims[:2] {
+				c.wipe(name)
+			}
+			c.run(4 * time.Second)
+			for _, name := range victims[:2] {
+				c.start(name)
+			}
+			c.waitForSpread()
+			require.LessOrEqual(t, slices.Max(slices.Collect(maps.Values(c.votersIn()))), 2, "seed %d, round %d", seed, round)
+		}
+	}
+}
+
+func TestTheLossOfAnyZoneLeavesAQuorum(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newZonedCluster(t, seed, 9)
+		for round := range 5 {
+			zone := fmt.Sprint("zone-", (round+int(seed))%zonesOfTest)
+			for _, name := range c.inZone(zone) {
+				c.kill(name, true)
+			}
+			leader := c.waitForLeader()
+			require.NoError(t, c.publish(leader, leader.core.State().Configuration().Version+1).Err, "seed %d, %s", seed, zone)
+			c.run(time.Duration(c.random.Int64N(int64(6 * time.Second))))
+			for _, name := range c.inZone(zone) {
+				c.start(name)
+			}
+			c.waitForSpread()
+		}
+	}
+}
+
+// Moving a voter never leaves the group with fewer than it needs.
+func TestAVoterIsMovedWhileTheGroupIsWhole(t *testing.T) {
+	c := newZonedCluster(t, 1, 9)
+	least := c.wanted
+	c.kill(c.inZone("zone-0")[0], true)
+	c.kill(c.inZone("zone-0")[1], true)
+	c.kill(c.inZone("zone-0")[2], true)
+	c.run(12 * time.Second)
+	require.Len(t, c.voters(), 5, "learners of the other zones vote instead")
+	for _, name := range c.inZone("zone-0") {
+		c.start(name)
+	}
+	c.runUntil(15*time.Second, "the voters are spread", func() bool {
+		least = min(least, len(c.voters()))
+		leader := c.leader()
+		return leader != nil && len(c.voters()) == 5 && leader.core.BearsLostZones()
+	})
+	assert.Equal(t, 5, least)
+	assert.Positive(t, c.events[eventlog.ZoneToleranceChanged])
+}
+
+func TestAGroupInTooFewZonesSaysSo(t *testing.T) {
+	c := newCluster(t, 1, 0)
+	c.lostZones = 1
+	c.seeds = []string{address(1), address(2), address(3)}
+	for _, name := range c.seeds {
+		c.add(name, true)
+	}
+	leader := c.waitForLeader()
+	c.run(time.Second)
+	assert.False(t, leader.core.BearsLostZones(), "all stand in one zone")
+	assert.Positive(t, c.events[eventlog.ZoneToleranceChanged])
+}
