Cold targets are spared by their age, and share one bound over all nodes

Cause: what a service states about its cold targets, and how long a target is still cold, were not read; with a rate stated nothing bounded the sum over all nodes.

Change: the member that registers a cold target names up to four nodes that may send it new flows, each a share of its budget in any 1.25 s; other nodes send none, so that the sum holds also with nodes cut off, frozen or just started. An order that takes a zone back names up to sixteen for its services, whose targets may be cold. Without a stated rate (0) nodes pass a cold target over with the part of its time that is left. With nothing but cold targets left whose budget is used, callers are reset at once (reason "cold"). A negative or absurd warm-up is refused with field and reason. A target needs 12 bytes more, 4 more a steward, only while it is cold.

Three ways weighed: a share a node by the number of nodes (below one flow a second with 346 nodes: nothing at all, or more than the budget), a share drawn at random (bounded only on average), named nodes (strict; kept).

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -336,7 +336,7 @@
 }
 
 // Restore implements replica.Host.
-func (c *Core) Restore(snapshot raft.Snapshot) error {
+func (c *Core) Restore(_ kernel.Instant, snapshot raft.Snapshot) error {
 	state, err := store.Decode(snapshot.Data, c.settings.Mechanisms.Store)
 	if err != nil {
 		return err
--- a/internal/directory/command.go
+++ b/internal/directory/command.go
@@ -42,6 +42,9 @@
 		encodeEdit(&encoder, command.Edit)
 	case CommandPutTarget, CommandEndTarget:
 		encodeTarget(&encoder, command.Target)
+		if command.Target.Warmup != nil {
+			encodeWarmup(&encoder, *command.Target.Warmup)
+		}
 	case CommandAddMember, CommandRemoveMember:
 		encodeMember(&encoder, command.Member)
 	case CommandEvacuate:
@@ -60,6 +63,10 @@
 		command.Edit = decodeEdit(decoder)
 	case CommandPutTarget, CommandEndTarget:
 		command.Target = decodeTarget(decoder)
+		if decoder.HasMore() {
+			warmup := decodeWarmup(decoder)
+			command.Target.Warmup = &warmup
+		}
 	case CommandAddMember, CommandRemoveMember:
 		command.Member = decodeMember(decoder)
 	case CommandEvacuate:
--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -16,6 +16,18 @@
 	// the one that the order was given on: an order that another one has overtaken
 	// changes nothing.
 	Revision uint64
+	// Warmups are those of the zone's services, in an order that takes the zone back.
+	Warmups []ServiceWarmup
+}
+
+// Warmup returns the warm-up of a service's targets since the zone was taken back.
+func (e Evacuation) Warmup(service string) (Warmup, bool) {
+	for _, known := range e.Warmups {
+		if known.Service == service {
+			return known.Warmup, true
+		}
+	}
+	return Warmup{}, false
 }
 
 // Evacuation returns what was last ordered about a zone; all is zero where
@@ -68,16 +80,19 @@
 
 // smallestEvacuation is the encoded size in bytes of an evacuation of a zone
 // without a name.
-const smallestEvacuation = 13
+const smallestEvacuation = 17
 
 func encodeEvacuation(encoder *wire.Encoder, evacuation Evacuation) {
 	encoder.String(evacuation.Zone)
 	encoder.Bool(evacuation.Active)
 	encoder.Uint64(evacuation.Revision)
+	encodeServiceWarmups(encoder, evacuation.Warmups)
 }
 
 func decodeEvacuation(decoder *wire.Decoder) Evacuation {
-	return Evacuation{Zone: decoder.String(), Active: decoder.Bool(), Revision: decoder.Uint64()}
+	evacuation := Evacuation{Zone: decoder.String(), Active: decoder.Bool(), Revision: decoder.Uint64()}
+	evacuation.Warmups = decodeServiceWarmups(decoder)
+	return evacuation
 }
 
 func encodeEvacuations(encoder *wire.Encoder, evacuations []Evacuation) {
--- a/internal/directory/model.go
+++ b/internal/directory/model.go
@@ -106,6 +106,8 @@
 	State TargetState
 	// Revision is the log position of the target's last change.
 	Revision uint64
+	// Warmup is set on a target that registered while it was cold.
+	Warmup *Warmup
 }
 
 // Member is a control member and where it is reached.
--- a/internal/directory/targetlist.go
+++ b/internal/directory/targetlist.go
@@ -21,6 +21,8 @@
 	flagOwnToken = 0x08
 	// flagNumberInID is set when the number is that of the ID's last digits.
 	flagNumberInID = 0x10
+	// flagWarmup is set when the target registered while it was cold.
+	flagWarmup = 0x20
 )
 
 // nameTable numbers the names that many targets of a list share.
@@ -67,10 +69,13 @@
 	if target.HasOwnToken() {
 		flags |= flagOwnToken
 	}
-	number, inID := numberInID(target.ID)
+	number, inID := NumberInID(target.ID)
 	if inID && number == target.Number {
 		flags |= flagNumberInID
 	}
+	if target.Warmup != nil {
+		flags |= flagWarmup
+	}
 	encoder.Uint8(flags)
 	encoder.String(target.ID)
 	if flags&flagNumberInID == 0 {
@@ -84,6 +89,9 @@
 	encodeShortAddress(encoder, target.Address)
 	encoder.Uint16(uint16(target.Slots))
 	encoder.Uint64(target.Revision)
+	if target.Warmup != nil {
+		encodeWarmup(encoder, *target.Warmup)
+	}
 }
 
 // decodeListed reads one target of a list.
@@ -91,7 +99,7 @@
 	flags := decoder.Uint8()
 	target := Target{State: TargetState(flags & stateMask), ID: decoder.String()}
 	target.Token = firstToken(target.ID)
-	target.Number, _ = numberInID(target.ID)
+	target.Number, _ = NumberInID(target.ID)
 	if flags&flagNumberInID == 0 {
 		target.Number = decoder.Uint64()
 	}
@@ -103,14 +111,22 @@
 	target.Address = decodeShortAddress(decoder)
 	target.Slots = uint32(decoder.Uint16())
 	target.Revision = decoder.Uint64()
+	if flags&flagWarmup != 0 {
+		warmup := decodeWarmup(decoder)
+		target.Warmup = &warmup
+	}
 	return target
 }
 
-// numberInID returns the number that the hexadecimal digits at the end of an ID
+// maxNumberDigits is the number of hexadecimal digits of the largest number.
+const maxNumberDigits = 16
+
+// NumberInID returns the number that the hexadecimal digits at the end of an ID
 // stand for.
-func numberInID(id string) (uint64, bool) {
-	number, err := strconv.ParseUint(id[strings.LastIndexByte(id, '-')+1:], 16, 64)
-	return number, err == nil
+func NumberInID(id string) (uint64, bool) {
+	digits := id[strings.LastIndexByte(id, '-')+1:]
+	number, err := strconv.ParseUint(digits, 16, 64)
+	return number, err == nil && len(digits) <= maxNumberDigits
 }
 
 func decodeTargets(decoder *wire.Decoder) []Target {
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -105,6 +105,7 @@
 
 // NewProcess prepares a node. Nothing listens yet.
 func NewProcess(settings Settings, logger *eventlog.Logger) *Process {
+	settings.Core.Name = settings.Name
 	settings.Core.Zone = settings.Zone
 	settings.Core.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	process := &Process{
@@ -368,7 +369,7 @@
 	revision := p.core.Revision()
 	evacuated := p.core.EvacuatedZones()
 	started := time.Now()
-	fits := p.core.Update(i.update)
+	fits := p.core.Update(now, i.update)
 	p.metrics.applying.Observe(time.Since(started).Seconds())
 	if fits && p.core.Revision() > revision {
 		p.beats.Follow(i.update.Targets)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -59,6 +59,7 @@
 	EvacuationRefused    ID = 1111
 	EvacuationUnanswered ID = 1112
 	EvacuationInForce    ID = 1113
+	WarmthUnreadable     ID = 1114
 )
 
 // Events of the balancers (2000 to 2999).
@@ -147,6 +148,7 @@
 	{EvacuationRefused, "evacuation_refused", "order about the evacuation of a zone refused"},
 	{EvacuationUnanswered, "evacuation_unanswered", "the group did not take the order about the evacuation of a zone"},
 	{EvacuationInForce, "evacuation_in_force", "evacuation of a zone began or ended"},
+	{WarmthUnreadable, "warmth_unreadable", "what a service states about its cold targets cannot be read and counts as nothing"},
 	{ConfigApplied, "config_applied", "configuration put in force"},
 	{ConfigIgnored, "config_ignored", "configuration older than the one in force ignored"},
 	{LeaseLost, "lease_lost", "lease lapsed and new work is left to other balancers"},
--- a/internal/lab/fleetsim/edge.go
+++ b/internal/lab/fleetsim/edge.go
@@ -50,6 +50,7 @@
 
 func (e *edge) start() {
 	settings := steer.DefaultSettings()
+	settings.Name = e.name
 	settings.Zone = e.zone
 	settings.Random = e.world.random
 	e.core = steer.New(settings)
@@ -267,7 +268,7 @@
 			update.Targets[position].State = directory.TargetReady
 		}
 	}
-	if !e.core.Update(update) {
+	if !e.core.Update(e.world.now, update) {
 		e.world.oracle.Broke(flowrules.Config, "%s got an update that does not fit", e.name)
 	}
 	e.world.oracle.Obeys(flowrules.NodeVersion{Node: e.name, Before: e.version, Version: e.core.Version()})
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -85,7 +85,7 @@
 		if registered && known.State >= beat.Target.State {
 			return 0, Output{}
 		}
-		return core.Submit(now, directory.Command{Kind: directory.CommandPutTarget, Target: beat.Target})
+		return core.Submit(now, directory.Command{Kind: directory.CommandPutTarget, Target: core.WithWarmup(beat.Target)})
 	})
 	return "", err
 }
@@ -100,6 +100,9 @@
 			return 0, Output{}
 		}
 		order := directory.Evacuation{Zone: zone, Active: active, Revision: core.State().Evacuation(zone).Revision}
+		if !active {
+			order = core.takeBack(order)
+		}
 		return core.Submit(now, directory.Command{Kind: directory.CommandEvacuate, Evacuation: order})
 	})
 	switch {
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -130,6 +130,7 @@
 	members    membershipKeeper
 	liveness   livenessTable
 	groupSize  groupSizeWatch
+	warmups    warmupTable
 
 	// remembered are the encoded targets on this member's disk, which go to many
 	// nodes; none once it has been current.
@@ -156,6 +157,7 @@
 	}
 	core.replica = replica.New(core, storage, settings.SnapshotEntries)
 	core.liveness.reset(now)
+	core.warmups = newWarmupTable(now)
 	if restored.Snapshot.Index > 0 {
 		state, err := directory.Decode(restored.Snapshot.Data)
 		if err != nil {
--- a/internal/registry/host.go
+++ b/internal/registry/host.go
@@ -23,12 +23,13 @@
 }
 
 // Restore implements replica.Host.
-func (c *Core) Restore(snapshot raft.Snapshot) error {
+func (c *Core) Restore(now kernel.Instant, snapshot raft.Snapshot) error {
 	state, err := directory.Decode(snapshot.Data)
 	if err != nil {
 		return err
 	}
 	c.state = state
+	c.warmups = newWarmupTable(now)
 	c.log(eventlog.SnapshotInstalled, "index", snapshot.Index, "revision", state.Revision())
 	return nil
 }
@@ -47,6 +48,7 @@
 	before := c.state.Revision()
 	result := c.state.Apply(entry.Index, command)
 	c.logApplied(command, result, before, entry.Term != c.replica.Node.Term())
+	c.noteWarmup(now, command, result)
 	if command.Kind == directory.CommandPutTarget && c.IsLeader() && entry.Term == c.replica.Node.Term() {
 		c.Heard(now, command.Target.ID)
 	}
--- a/internal/registry/nodes.go
+++ b/internal/registry/nodes.go
@@ -91,7 +91,7 @@
 	}
 	payload, made := payloads[node.revision]
 	if !made {
-		payload = directory.EncodeUpdate(c.state.Since(node.revision))
+		payload = directory.EncodeUpdate(c.forNode(now, c.state.Since(node.revision)))
 		payloads[node.revision] = payload
 	}
 	node.revision = c.state.Revision()
--- a/internal/registry/settings.go
+++ b/internal/registry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/raft"
 )
 
@@ -35,6 +36,10 @@
 	// LostAfter is the shortest silence after which a target can be held for
 	// lost, when callers wait for its answers.
 	LostAfter time.Duration
+	// WarmthOf returns what is stated about the cold targets of a service; nil where
+	// nothing is.
+	WarmthOf     func(service directory.Service) (Warmth, error)
+	WarmupLimits WarmupLimits
 	// SnapshotEntries is the length of the log at which it is compacted.
 	SnapshotEntries int
 }
--- /dev/null
+++ b/internal/registry/warmup_test.go
@@ -0,0 +1,123 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+)
+
+func TestBudgetsOfColdTargets(t *testing.T) {
+	cases := []struct {
+		rate   float64
+		limits WarmupLimits
+		budget uint32
+	}{
+		{0, WarmupLimits{1.5, 5}, 0},
+		{0.3, WarmupLimits{1.5, 5}, 1},
+		{1, WarmupLimits{1.5, 5}, 1},
+		{100, WarmupLimits{1.5, 5}, 100},
+		{100, WarmupLimits{0.5, 5}, 55},
+		{100, WarmupLimits{}, 1},
+	}
+	for _, test := range cases {
+		core := &Core{settings: CoreSettings{WarmupLimits: test.limits}}
+		assert.Equal(t, test.budget, core.budget(Warmth{Rate: test.rate}), "%+v", test)
+	}
+}
+
+func TestAWarmUpThatCannotBeMeantIsRefused(t *testing.T) {
+	assert.NoError(t, Warmth{Time: time.Second, Rate: 100}.Validate("time", "rate"))
+	assert.ErrorContains(t, Warmth{Time: -1}.Validate("time", "rate"), "time: ")
+	assert.ErrorContains(t, Warmth{Time: 2 * time.Hour}.Validate("time", "rate"), "time: ")
+	assert.ErrorContains(t, Warmth{Rate: -1}.Validate("time", "rate"), "rate: -1: must be")
+	assert.ErrorContains(t, Warmth{Rate: 1e9}.Validate("time", "rate"), "rate: ")
+}
+
+// withNodes returns a leader that some nodes follow and that states a rate.
+func withNodes(c *cluster, nodes int) *machine {
+	leader := c.waitForLeader()
+	leader.core.settings.WarmupLimits = WarmupLimits{Over: 1.5, Slack: 5}
+	leader.core.settings.WarmthOf = func(directory.Service) (Warmth, error) { return Warmth{Time: 2 * time.Second, Rate: 3}, nil }
+	next := directory.Configuration{Version: 1, Services: []directory.Service{{Name: "booking"}}}
+	edit := directory.Difference(leader.core.State().Configuration(), next)
+	require.NoError(c, c.submit(leader, directory.Command{Kind: directory.CommandPublish, Edit: edit}).Err)
+	for number := range nodes {
+		c.take(leader, leader.core.Open(c.now, ConnectionID(number+1), Subscribe{Node: string(rune('a' + number))}))
+	}
+	return leader
+}
+
+func TestAColdTargetHasStewardsUntilItIsWarm(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	leader := withNodes(c, 10)
+	command := put("i-1", "10.1.1.1:1", directory.TargetReady)
+	command.Target.Warmup = &directory.Warmup{Left: time.Second}
+	command.Target = leader.core.WithWarmup(command.Target)
+	require.Equal(t, uint32(3), command.Target.Warmup.Budget)
+	require.Len(t, command.Target.Warmup.Stewards, 3)
+	require.NoError(t, c.submit(leader, command).Err)
+	first := leader.core.forNode(c.now, leader.core.State().Since(0))
+	require.NotNil(t, first.Targets[0].Warmup)
+	assert.LessOrEqual(t, first.Targets[0].Warmup.Left, time.Second)
+	c.run(500 * time.Millisecond)
+	later := leader.core.forNode(c.now, leader.core.State().Since(0))
+	assert.Less(t, later.Targets[0].Warmup.Left, 600*time.Millisecond, "a node counts from when it is told")
+	c.run(time.Second)
+	assert.Nil(t, leader.core.forNode(c.now, leader.core.State().Since(0)).Targets[0].Warmup, "it is warm")
+}
+
+// A member that has just started does not know how old the registrations on its disk
+// are: to it their targets are as cold as they said.
+func TestAMemberCountsColdTimeFromItsStart(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	leader := withNodes(c, 4)
+	command := put("i-1", "10.1.1.1:1", directory.TargetReady)
+	command.Target.Warmup = &directory.Warmup{Left: 2 * time.Second}
+	require.NoError(t, c.submit(leader, command).Err)
+	c.run(500 * time.Millisecond)
+	for _, name := range c.names() {
+		c.kill(name, true)
+	}
+	for _, name := range c.names() {
+		c.start(name)
+	}
+	core := c.waitForLeader().core
+	require.NotNil(t, core.forNode(c.now, core.State().Since(0)).Targets[0].Warmup)
+	c.run(2 * time.Second)
+	assert.Nil(t, core.forNode(c.now, core.State().Since(0)).Targets[0].Warmup)
+}
+
+func TestAZoneThatIsTakenBackTellsTheWarmUpOfItsServices(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	leader := withNodes(c, 10)
+	command := put("i-1", "10.1.1.1:1", directory.TargetReady)
+	command.Target.Zone = "north"
+	require.NoError(t, c.submit(leader, command).Err)
+	require.NoError(t, c.evacuate(leader, "north", true).Err)
+	base := leader.core.State().Evacuation("north").Revision
+	order := leader.core.takeBack(directory.Evacuation{Zone: "north", Revision: base})
+	require.NoError(t, c.submit(leader, directory.Command{Kind: directory.CommandEvacuate, Evacuation: order}).Err)
+	update := leader.core.forNode(c.now, leader.core.State().Since(0))
+	require.Len(t, update.Evacuations, 1)
+	warmup, known := update.Evacuations[0].Warmup("booking")
+	require.True(t, known)
+	assert.Equal(t, uint32(3), warmup.Budget)
+	assert.Len(t, warmup.Stewards, 3)
+	c.run(3 * time.Second)
+	assert.Empty(t, leader.core.forNode(c.now, leader.core.State().Since(0)).Evacuations[0].Warmups)
+}
+
+func TestTheTableOfColdTargetsForgetsWarmOnes(t *testing.T) {
+	now := kernel.Instant(time.Minute)
+	table := newWarmupTable(now)
+	for token := range directory.Token(10 * maxWarmups) {
+		now = now.Add(10 * time.Millisecond)
+		table.note(now, directory.Target{Token: token, Warmup: &directory.Warmup{Left: time.Second}})
+		require.LessOrEqual(t, len(table.since), maxWarmups+1)
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,7 +22,7 @@
 	// Send sends a message to another member; it may be lost.
 	Send(message raft.Message)
 	// Restore replaces the state by a snapshot of the leader.
-	Restore(snapshot raft.Snapshot) error
+	Restore(now kernel.Instant, snapshot raft.Snapshot) error
 	// Apply runs a committed entry.
 	Apply(now kernel.Instant, entry raft.Entry) error
 	// RoleChanged is called when the role or the term is another one; before
@@ -77,7 +77,7 @@
 			d.host.Send(message)
 		}
 		if ready.Snapshot != nil {
-			d.restore(*ready.Snapshot)
+			d.restore(now, *ready.Snapshot)
 		}
 		d.apply(now, ready.Committed)
 		d.noteRole(now)
@@ -91,8 +91,8 @@
 	d.host.Stopped(err)
 }
 
-func (d *Driver) restore(snapshot raft.Snapshot) {
-	if err := d.host.Restore(snapshot); err != nil {
+func (d *Driver) restore(now kernel.Instant, snapshot raft.Snapshot) {
+	if err := d.host.Restore(now, snapshot); err != nil {
 		d.Stop(steperror.Wrap("replica.restore", "", err))
 		return
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -24,8 +24,8 @@
 
 var _ Host = (*countingHost)(nil)
 
-func (h *countingHost) Send(raft.Message)           {}
-func (h *countingHost) Restore(raft.Snapshot) error { return nil }
+func (h *countingHost) Send(raft.Message)                           {}
+func (h *countingHost) Restore(kernel.Instant, raft.Snapshot) error { return nil }
 func (h *countingHost) Apply(_ kernel.Instant, entry raft.Entry) error {
 	h.applied = append(h.applied, entry.Index)
 	return h.applyError
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -12,6 +12,8 @@
 
 // Settings are the fixed settings of a node's core.
 type Settings struct {
+	// Name is the name of the node, by which it is a steward of cold targets.
+	Name    string
 	Zone    string
 	Chooser Chooser
 	Random  *rand.Rand
@@ -65,6 +67,8 @@
 	reported bool
 	// missed is the number of opening packets left unanswered since answeredAt.
 	missed int
+	// cold is set while the target is spared, or nil.
+	cold *coldness
 }
 
 // flowEntry is what this node remembers of a flow that it has placed. It is
@@ -108,8 +112,13 @@
 	answering []*targetEntry
 	missing   map[*targetEntry]bool
 	members   []directory.Member
-	// evacuated are the zones whose targets take no new flows.
-	evacuated map[string]bool
+	// evacuated are the zones whose targets take no new flows, and evacuations the
+	// revisions of the newest orders about zones.
+	evacuated   map[string]bool
+	evacuations map[string]uint64
+	// key is this node's key among stewards. From budgetFrom on it may use budgets.
+	key        uint32
+	budgetFrom kernel.Instant
 
 	// opened, usable and candidates are the lists of the last choice.
 	opened     []*targetEntry
@@ -129,7 +138,10 @@
 		unanswered: map[FlowKey]*flowEntry{},
 		waiting:    map[*flowEntry]struct{}{},
 		missing:    map[*targetEntry]bool{},
-		evacuated:  map[string]bool{},
+
+		evacuated:   map[string]bool{},
+		evacuations: map[string]uint64{},
+		key:         directory.NodeKey(settings.Name),
 	}
 }
 
@@ -176,7 +188,7 @@
 
 // Update puts an update in force. It returns false when the update does not
 // fit what the node has; then the node must ask for the whole state.
-func (c *Core) Update(update directory.Update) bool {
+func (c *Core) Update(now kernel.Instant, update directory.Update) bool {
 	if update.Revision <= c.revision {
 		return true
 	}
@@ -197,16 +209,17 @@
 	if configuration.Version > c.configuration.Version {
 		c.setConfiguration(configuration)
 	}
+	if c.revision == 0 {
+		c.budgetFrom = now.Add(budgetWindow)
+	}
 	c.dropRemembered(update.Targets)
 	for _, target := range update.Targets {
-		c.setTarget(target)
+		c.setTarget(now, target)
 	}
 	if update.Members != nil {
 		c.members = update.Members
 	}
-	for _, evacuation := range update.Evacuations {
-		c.evacuated[evacuation.Zone] = evacuation.Active
-	}
+	c.setEvacuations(now, update.Evacuations)
 	c.revision = update.Revision
 	return true
 }
@@ -223,11 +236,14 @@
 	}
 }
 
-func (c *Core) setTarget(target directory.Target) {
+func (c *Core) setTarget(now kernel.Instant, target directory.Target) {
 	entry, known := c.targets[target.Token]
 	if !known {
 		entry = &targetEntry{}
 		c.targets[target.Token] = entry
+		if target.Warmup != nil {
+			entry.cold = c.newColdness(now, *target.Warmup)
+		}
 	}
 	c.unlist(entry)
 	entry.target = target
--- a/internal/steer/core_test.go
+++ b/internal/steer/core_test.go
@@ -39,7 +39,7 @@
 func (b *bench) apply(now kernel.Instant, command directory.Command) {
 	b.position++
 	b.state.Apply(b.position, command)
-	require.True(b, b.core.Update(b.state.Since(b.core.Revision())))
+	require.True(b, b.core.Update(now, b.state.Since(b.core.Revision())))
 }
 
 func (b *bench) publish(now kernel.Instant, version uint64, routes ...directory.Route) {
@@ -236,10 +236,10 @@
 	first := b.state.Since(0)
 	b.publish(start, 2, route("r", otherAddress, directory.Backend{Service: "booking", Weight: 1}))
 	b.publish(start, 3, route("r", bookingAddress, directory.Backend{Service: "booking", Weight: 1}))
-	assert.True(t, b.core.Update(first))
+	assert.True(t, b.core.Update(start, first))
 	assert.Equal(t, uint64(3), b.core.Version())
 	fresh := New(b.core.settings)
-	assert.False(t, fresh.Update(b.state.Since(2)), "an edit without its base")
+	assert.False(t, fresh.Update(start, b.state.Since(2)), "an edit without its base")
 	assert.Equal(t, uint64(0), fresh.Revision())
 }
 
--- a/internal/steer/evacuation_test.go
+++ b/internal/steer/evacuation_test.go
@@ -71,6 +71,6 @@
 	b.target(start, "i-2", "booking", "south", "10.0.0.2:1", directory.TargetReady)
 	b.evacuate(start, "north", true)
 	fresh := New(b.core.settings)
-	assert.True(t, fresh.Update(b.state.Since(0)))
+	assert.True(t, fresh.Update(start, b.state.Since(0)))
 	assert.Equal(t, "i-2", fresh.Decide(start, opening(1, 0)).Target.ID)
 }
--- a/internal/steer/packet.go
+++ b/internal/steer/packet.go
@@ -72,6 +72,9 @@
 	// ReasonEvacuated is a new flow to a service whose targets all stand in zones
 	// that are being evacuated.
 	ReasonEvacuated
+	// ReasonCold is a new flow to a service that has only cold targets left, which
+	// bear no more from this node for the moment.
+	ReasonCold
 	// ReasonEnded is a packet of a flow whose target has surely ended.
 	ReasonEnded
 	// ReasonLost is a packet of a flow whose target the control members hold
@@ -100,7 +103,7 @@
 // String returns the reason as a word for logs and counters.
 func (r Reason) String() string {
 	return [...]string{
-		"placed", "placed_again", "token", "no_route", "no_target", "evacuated", "ended", "lost",
+		"placed", "placed_again", "token", "no_route", "no_target", "evacuated", "cold", "ended", "lost",
 		"unknown_token", "no_token", "forged", "not_ready",
 	}[r]
 }
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -18,6 +18,7 @@
 	reason := ReasonPlaced
 	flow, known := c.flows[packet.Flow]
 	if known && packet.Copy > 0 && c.keepsTarget(now, flow) {
+		flow.target.noteSent(now)
 		return Decision{Action: ActionForward, Reason: ReasonToken, Target: flow.target.target, Route: entry.route.Name}
 	}
 	if known && packet.Copy > 0 {
@@ -30,19 +31,19 @@
 		return decision
 	}
 	decision.Reason = reason
+	target.noteSent(now)
 	c.notePlaced(now, packet, target)
 	return decision
 }
 
 // keepsTarget reports whether a copy of an opening packet goes where the one before
-// went: the flow is open, or its target has had no time to answer yet. One that
-// stands in a zone which has been evacuated since gets no further packet of a flow
-// that is not open.
+// went: the flow is open, or its target has had no time to answer yet and may still
+// get opening packets.
 func (c *Core) keepsTarget(now kernel.Instant, flow *flowEntry) bool {
 	if flow.opened {
 		return true
 	}
-	return now.Sub(flow.placedAt) < c.settings.AnswerTime && !c.evacuated[flow.target.target.Zone]
+	return now.Sub(flow.placedAt) < c.settings.AnswerTime && !c.isClosed(now, flow.target)
 }
 
 func (c *Core) notePlaced(now kernel.Instant, packet Packet, target *targetEntry) {
@@ -96,12 +97,19 @@
 
 // refusal returns why no target takes a new flow of a route.
 func (c *Core) refusal(entry *routeEntry) Reason {
+	reason := ReasonNoTarget
 	for _, backend := range entry.route.Backends {
-		if backend.Weight > 0 && len(c.services[backend.Service]) > 0 {
-			return ReasonEvacuated
+		if backend.Weight == 0 {
+			continue
+		}
+		for _, target := range c.services[backend.Service] {
+			if !c.evacuated[target.target.Zone] {
+				return ReasonCold
+			}
+			reason = ReasonEvacuated
 		}
 	}
-	return ReasonNoTarget
+	return reason
 }
 
 func (c *Core) backendByWeight(entry *routeEntry) int {
@@ -120,10 +128,9 @@
 
 // listUsable fills the list of candidates of a service and returns how many
 // doubtful ones were passed over. When only doubtful ones are left, those that
-// were not tried are used; when all were tried, all are. Those of evacuated zones
-// never are.
+// were not tried are used; when all were tried, all are. Closed ones never are.
 func (c *Core) listUsable(now kernel.Instant, service string, tried []directory.Token) int {
-	all := c.open(c.services[service])
+	all := c.listOpen(now, c.services[service])
 	doubtful := 0
 	c.startList()
 	for _, entry := range all {
@@ -131,6 +138,7 @@
 		case contains(tried, entry.target.Token):
 		case c.isDoubtful(now, entry):
 			doubtful++
+		case c.isSpared(now, entry):
 		default:
 			c.addCandidate(entry)
 		}
@@ -152,11 +160,11 @@
 	return 0
 }
 
-// open returns the targets that stand in no evacuated zone.
-func (c *Core) open(all []*targetEntry) []*targetEntry {
+// listOpen returns the targets that may get an opening packet.
+func (c *Core) listOpen(now kernel.Instant, all []*targetEntry) []*targetEntry {
 	c.opened = c.opened[:0]
 	for _, entry := range all {
-		if !c.evacuated[entry.target.Zone] {
+		if !c.isClosed(now, entry) {
 			c.opened = append(c.opened, entry)
 		}
 	}
--- a/internal/steer/remembered_test.go
+++ b/internal/steer/remembered_test.go
@@ -40,7 +40,7 @@
 	confirmed, _ := state.Target("i-1")
 	b.core.Remember([]directory.Target{confirmed, rememberedTarget("i-7", 7)})
 	b.core.Decide(start, following(1, 7, 1))
-	require.True(t, b.core.Update(state.Since(0)))
+	require.True(t, b.core.Update(start, state.Since(0)))
 	assert.Equal(t, ReasonUnknownToken, b.core.Decide(start, following(1, 7, 2)).Reason)
 	assert.Equal(t, ActionForward, b.core.Decide(start, following(2, confirmed.Token, 1)).Action)
 	assert.Len(t, b.core.services["booking"], 1)
