The planted defect of nodes that go between two members is looked for in a larger group

Change: the case plays nine members, where 6 of 120 seeds show the defect; still 2 of 160 are needed.

--- a/internal/lab/fleetsim/world_test.go
+++ b/internal/lab/fleetsim/world_test.go
@@ -60,19 +60,21 @@
 }
 
 // Each rule can fail: with a mechanism switched off some seeds break it. Nodes
-// that go between two members are seen by 5 of 160 seeds, whatever the course of
-// the random numbers; one of 40 would be luck.
+// that go between two members need two of them on the wrong side of a cut: of three
+// or five members 4, 4 and 0 of 160 seeds saw it in three courses of the random
+// numbers, of nine 6 of 120.
 func TestTheRulesSeeWhatIsWrong(t *testing.T) {
 	cases := map[string]struct {
 		switches Switches
 		rule     flowrules.Rule
 		seeds    uint64
 		needed   int
+		members  int
 	}{
-		"a node alone holds targets for lost": {Switches{HastyLoss: true}, flowrules.Flow, 40, 1},
-		"nodes go between two members":        {Switches{ForgetFaults: true}, flowrules.Config, 160, 2},
-		"a drain is acknowledged early":       {Switches{EarlyDrain: true}, flowrules.Drain, 40, 1},
-		"nodes ignore that targets drain":     {Switches{KeepOld: true}, flowrules.Drain, 40, 1},
+		"a node alone holds targets for lost": {Switches{HastyLoss: true}, flowrules.Flow, 40, 1, 0},
+		"nodes go between two members":        {Switches{ForgetFaults: true}, flowrules.Config, 160, 2, 9},
+		"a drain is acknowledged early":       {Switches{EarlyDrain: true}, flowrules.Drain, 40, 1, 0},
+		"nodes ignore that targets drain":     {Switches{KeepOld: true}, flowrules.Drain, 40, 1, 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -81,6 +83,9 @@
 			for seed := range test.seeds {
 				wrong := settings(seed)
 				wrong.Switches = test.switches
+				if test.members > 0 {
+					wrong.Members = test.members
+				}
 				isSeen := func(breach flowrules.Breach) bool { return breach.Rule == test.rule }
 				if slices.ContainsFunc(New(wrong).Run().Breaches, isSeen) {
 					seen++
