--- /dev/null
+++ b/cmd/beamdoor-node/evacuation.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/beamdoor/beamdoor/internal/registry"
+)
+
+// evacuationCommand gives operators the orders about zones. Members are those of the
+// flag or, without it, the seeds of the settings.
+func evacuationCommand(seeds func() ([]string, error)) *cobra.Command {
+	var members []string
+	command := &cobra.Command{
+		Use:   "evacuation",
+		Short: "Keep new flows from a zone, or take it back",
+	}
+	command.PersistentFlags().StringSliceVar(&members, "member", nil, "control members as IP:PORT of their own protocol (default: the seeds of the settings)")
+	send := func(cmd *cobra.Command, order registry.Order) ([]registry.ZoneShare, error) {
+		if len(members) == 0 {
+			var err error
+			if members, err = seeds(); err != nil {
+				return nil, err
+			}
+		}
+		reply, err := registry.SendOrder(cmd.Context(), members, order)
+		if err == nil && reply.Problem != "" {
+			err = errors.New(reply.Problem)
+		}
+		return reply.Shares, err
+	}
+	command.AddCommand(startCommand(send), finishCommand(send), listCommand(send))
+	return command
+}
+
+// sendFunc gives an order to a member and returns what each zone bears after it.
+type sendFunc func(cmd *cobra.Command, order registry.Order) ([]registry.ZoneShare, error)
+
+func startCommand(send sendFunc) *cobra.Command {
+	var dryRun bool
+	command := &cobra.Command{
+		Use:     "start ZONE",
+		Short:   "Send no new flows to the targets of a zone; open flows stay",
+		Example: "  beamdoor-node evacuation start north --dry-run\n  beamdoor-node evacuation start north --member 10.1.0.13:7720",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			zone := arguments[0]
+			if dryRun {
+				shares, err := send(cmd, registry.Order{Kind: registry.OrderList})
+				if err != nil {
+					return err
+				}
+				return printDryRun(cmd.OutOrStdout(), shares, zone)
+			}
+			shares, err := send(cmd, registry.Order{Kind: registry.OrderEvacuate, Zone: zone})
+			if err != nil {
+				return err
+			}
+			return printShares(cmd.OutOrStdout(), shares)
+		},
+	}
+	command.Flags().BoolVar(&dryRun, "dry-run", false, "show what the other zones would bear, and change nothing")
+	return command
+}
+
+func finishCommand(send sendFunc) *cobra.Command {
+	return &cobra.Command{
+		Use:   "finish ZONE",
+		Short: "Take a zone back; its part of the new flows grows over the warm-up of its services",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, arguments []string) error {
+			shares, err := send(cmd, registry.Order{Kind: registry.OrderTakeBack, Zone: arguments[0]})
+			if err != nil {
+				return err
+			}
+			return printShares(cmd.OutOrStdout(), shares)
+		},
+	}
+}
+
+func listCommand(send sendFunc) *cobra.Command {
+	return &cobra.Command{
+		Use:   "list",
+		Short: "List zones and services, and which zones are evacuated",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			shares, err := send(cmd, registry.Order{Kind: registry.OrderList})
+			if err != nil {
+				return err
+			}
+			return printShares(cmd.OutOrStdout(), shares)
+		},
+	}
+}
+
+// columnGap is the number of blanks between the columns of a table.
+const columnGap = 2
+
+func printShares(out io.Writer, shares []registry.ZoneShare) error {
+	table := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
+	_, _ = fmt.Fprintln(table, "SERVICE\tZONE\tTARGETS\tSLOTS\tEVACUATED")
+	for _, share := range shares {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%t\n", share.Service, share.Zone, share.Targets, share.Slots, share.Evacuated)
+	}
+	return table.Flush()
+}
+
+func printDryRun(out io.Writer, shares []registry.ZoneShare, zone string) error {
+	effects, warnings := registry.DryRun(shares, zone)
+	table := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', 0)
+	_, _ = fmt.Fprintln(table, "SERVICE\tZONE\tPART NOW\tPART THEN")
+	for _, effect := range effects {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%.0f%%\t%.0f%%\n", effect.Service, effect.Zone, 100*effect.Before, 100*effect.After)
+	}
+	for _, warning := range warnings {
+		_, _ = fmt.Fprintln(table, "warning: "+warning)
+	}
+	return table.Flush()
+}
--- a/cmd/beamdoor-node/main.go
+++ b/cmd/beamdoor-node/main.go
@@ -42,6 +42,7 @@
 		roleCommand("member", "Run a control member", &file, platform.RunMember),
 		checkCommand(&file),
 		explainCommand(),
+		evacuationCommand(func() ([]string, error) { return platform.ReadMembers(file) }),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/registry/order.go
@@ -0,0 +1,200 @@
+package registry
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/peerlink"
+	"github.com/beamdoor/beamdoor/internal/steperror"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+// OrderKind is what an operator asks a member for over its own protocol.
+type OrderKind uint8
+
+// The kinds of orders.
+const (
+	// OrderList changes nothing.
+	OrderList OrderKind = iota
+	// OrderEvacuate begins the evacuation of a zone.
+	OrderEvacuate
+	// OrderTakeBack ends it.
+	OrderTakeBack
+)
+
+// orderTimeout is how long an order waits for the group: an election and a write.
+const orderTimeout = 3 * time.Second
+
+// Order is an operator's order to a member.
+type Order struct {
+	Kind OrderKind
+	Zone string
+}
+
+func (o Order) frame() wire.Frame {
+	var encoder wire.Encoder
+	encoder.Uint8(uint8(o.Kind))
+	encoder.String(o.Zone)
+	return wire.Frame{Kind: wire.FrameOrder, Payload: encoder.Buffer}
+}
+
+func decodeOrder(payload []byte) (Order, error) {
+	decoder := wire.NewDecoder(payload)
+	order := Order{Kind: OrderKind(decoder.Uint8()), Zone: decoder.String()}
+	return order, decoder.Err("registry.decode_order")
+}
+
+// ZoneShare is what the targets of a zone that take new flows bear of a service.
+type ZoneShare struct {
+	Zone, Service  string
+	Targets, Slots uint32
+	// Evacuated is set while the zone gets no new flows.
+	Evacuated bool
+}
+
+// OrderReply is a member's answer to an order.
+type OrderReply struct {
+	// Problem says why the order was not carried out; empty when it was. Refused is
+	// set when giving it again is no use.
+	Problem string
+	Refused bool
+	// Shares are those of all zones and services, in order.
+	Shares []ZoneShare
+}
+
+func (r OrderReply) frame() wire.Frame {
+	var encoder wire.Encoder
+	encoder.String(r.Problem)
+	encoder.Bool(r.Refused)
+	encoder.Uint32(uint32(len(r.Shares)))
+	for _, share := range r.Shares {
+		encoder.String(share.Zone)
+		encoder.String(share.Service)
+		encoder.Uint32(share.Targets)
+		encoder.Uint32(share.Slots)
+		encoder.Bool(share.Evacuated)
+	}
+	return wire.Frame{Kind: wire.FrameOrderReply, Payload: encoder.Buffer}
+}
+
+// smallestShare is the encoded size in bytes of a share without names.
+const smallestShare = 17
+
+func decodeOrderReply(payload []byte) (OrderReply, error) {
+	decoder := wire.NewDecoder(payload)
+	reply := OrderReply{Problem: decoder.String(), Refused: decoder.Bool()}
+	for count := decoder.Count(smallestShare); count > 0; count-- {
+		reply.Shares = append(reply.Shares, ZoneShare{
+			Zone: decoder.String(), Service: decoder.String(), Targets: decoder.Uint32(), Slots: decoder.Uint32(), Evacuated: decoder.Bool(),
+		})
+	}
+	return reply, decoder.Err("registry.decode_order_reply")
+}
+
+// SendOrder gives an order to the first of some members that answers.
+func SendOrder(ctx context.Context, addresses []string, order Order) (OrderReply, error) {
+	const step = "registry.send_order"
+	remaining := slices.Clone(addresses)
+	connection, address, err := peerlink.DialFirst(ctx, func() (string, bool) {
+		if len(remaining) == 0 {
+			return "", false
+		}
+		next := remaining[0]
+		remaining = remaining[1:]
+		return next, true
+	})
+	if err != nil {
+		return OrderReply{}, err
+	}
+	defer func() { _ = connection.Close() }()
+	if err := peerlink.Write(connection, wire.AppendFrame(nil, order.frame())); err != nil {
+		return OrderReply{}, steperror.Wrap(step, address, err)
+	}
+	if err := connection.SetReadDeadline(time.Now().Add(orderTimeout + time.Second)); err != nil {
+		return OrderReply{}, steperror.Wrap(step, address, err)
+	}
+	frame, err := wire.ReadFrame(bufio.NewReader(connection))
+	if err != nil {
+		return OrderReply{}, steperror.Wrap(step, address, err)
+	}
+	return decodeOrderReply(frame.Payload)
+}
+
+// serveOrder carries out an order and answers it.
+func (p *Process) serveOrder(connection net.Conn, frame wire.Frame) {
+	order, err := decodeOrder(frame.Payload)
+	if err != nil {
+		p.logger.Event(eventlog.BadFrame, "peer", connection.RemoteAddr(), "err", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	reply := p.carryOut(ctx, order)
+	if err := peerlink.Write(connection, wire.AppendFrame(nil, reply.frame())); err != nil {
+		p.logger.Sampled(eventlog.BadFrame, "peer", connection.RemoteAddr(), "err", err)
+	}
+}
+
+func (p *Process) carryOut(ctx context.Context, order Order) OrderReply {
+	var err error
+	switch order.Kind {
+	case OrderEvacuate:
+		err = p.Evacuate(ctx, order.Zone, true)
+	case OrderTakeBack:
+		err = p.Evacuate(ctx, order.Zone, false)
+	}
+	var reply OrderReply
+	if err == nil {
+		reply.Shares, err = p.zoneShares(ctx)
+	}
+	if err != nil {
+		var problem *directory.Problem
+		reply = OrderReply{Problem: err.Error(), Refused: errors.As(err, &problem)}
+	}
+	return reply
+}
+
+// zoneShares returns what each zone bears, as a linearizable read.
+func (p *Process) zoneShares(ctx context.Context) ([]ZoneShare, error) {
+	if _, err := p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) { return core.Read(now) }); err != nil {
+		return nil, err
+	}
+	answer := make(chan []ZoneShare, 1)
+	_, err := p.call(ctx, func(core *Core, _ kernel.Instant) (Ticket, Output) {
+		answer <- core.zoneShares()
+		return 0, Output{}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return <-answer, nil
+}
+
+func (c *Core) zoneShares() []ZoneShare {
+	type place struct{ zone, service string }
+	shares := map[place]ZoneShare{}
+	c.state.EachTarget(func(target *directory.Target) {
+		if target.State != directory.TargetReady {
+			return
+		}
+		key := place{zone: target.Zone, service: target.Service}
+		share := shares[key]
+		share.Zone, share.Service = target.Zone, target.Service
+		share.Targets++
+		share.Slots += target.Slots
+		share.Evacuated = c.state.Evacuation(target.Zone).Active
+		shares[key] = share
+	})
+	return slices.SortedFunc(maps.Values(shares), func(a, b ZoneShare) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone))
+	})
+}
--- a/internal/registry/streams.go
+++ b/internal/registry/streams.go
@@ -38,6 +38,10 @@
 			p.serveNode(connection, reader, frame)
 			return
 		}
+		if frame.Kind == wire.FrameOrder {
+			p.serveOrder(connection, frame)
+			return
+		}
 		p.inputs.Push(frameInput{frame: frame})
 	}
 }
--- a/internal/registry/zones_test.go
+++ b/internal/registry/zones_test.go
@@ -66,17 +66,6 @@
 	return names
 }
 
-// loseZone ends all members of a zone for a while.
-func (c *cluster) loseZone(zone string, duration time.Duration) {
-	for _, name := range c.inZone(zone) {
-		c.kill(name, true)
-	}
-	c.run(duration)
-	for _, name := range c.inZone(zone) {
-		c.start(name)
-	}
-}
-
 // A learner was made a voter by its number alone, so that after some replacements
 // three of five voters stood in one zone, and its loss stopped the group.
 func TestVotersAreSpreadOverZonesAfterReplacements(t *testing.T) {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -54,6 +54,10 @@
 	FrameRemembered
 	// FrameReferral sends a node that knows only seeds on to other members.
 	FrameReferral
+	// FrameOrder holds an operator's order to a control member.
+	FrameOrder
+	// FrameOrderReply holds the answer to an order.
+	FrameOrderReply
 )
 
 var frameNames = [...]string{
@@ -61,7 +65,7 @@
 	FrameGrant: "grant", FrameConfig: "config", FrameHello: "hello", FrameJoin: "join", FrameJoinReply: "join_reply",
 	FrameForward: "forward", FrameForwarded: "forwarded", FrameReadIndex: "read_index", FrameLiveness: "liveness",
 	FrameSubscribe: "subscribe", FrameUpdate: "update", FrameEvidence: "evidence", FrameAlive: "alive",
-	FrameRemembered: "remembered", FrameReferral: "referral",
+	FrameRemembered: "remembered", FrameReferral: "referral", FrameOrder: "order", FrameOrderReply: "order_reply",
 }
 
 // String returns the name of the kind, as metrics give it.
