The limit of opening packets follows what is usual at a node

Cause: an opening packet counted as refused after 60 ms, six times the longest usual time of the deployments so far; where callers or zones are farther away every target would be passed over.

Change: the limit is the usual time and four deviations (RFC 6298), from 60 to 180 ms.

--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -318,7 +318,7 @@
 func (c *Core) noteFlow(now kernel.Instant, packet Packet, entry *targetEntry) {
 	flow, known := c.flows[packet.Flow]
 	if known && !flow.opened {
-		c.openings.noteOpened(packet.Flow, flow)
+		c.openings.noteOpened(now, packet.Flow, flow)
 	}
 	if known && (!flow.opened || packet.Acknowledged != flow.acknowledged) {
 		c.noteAnswer(now, entry)
--- a/internal/steer/openings.go
+++ b/internal/steer/openings.go
@@ -14,10 +14,18 @@
 // count the opening packets that were followed by nothing.
 
 const (
-	// openingLimit is the time after which an opening packet has found no taker: some
-	// times the longest usual one, which is twice the way between caller and target
-	// in different zones (10 ms), and less than the 200 ms to its first copy.
-	openingLimit = 60 * time.Millisecond
+	// shortestOpeningLimit is the least time after which an opening packet has found no
+	// taker: some times the longest usual one where zones are 1.4 ms and callers 3 ms
+	// away (10 ms). Where callers or zones are farther, a node learns a longer one.
+	shortestOpeningLimit = 60 * time.Millisecond
+	// longestOpeningLimit is less than the 200 ms after which a caller sends a copy
+	// (users' protocol page, "Flows").
+	longestOpeningLimit = 180 * time.Millisecond
+	// The weights of a new opening in the usual time and its deviation, as parts of
+	// one, and the deviations that are added to the usual time (RFC 6298, section 2).
+	usualDivisor     = 8
+	deviationDivisor = 4
+	deviationFactor  = 4
 	// refusedFor is how long a target that took no opening packet is passed over at
 	// this node: about the time between two of its heartbeats, the next sign of it.
 	refusedFor = time.Second
@@ -36,6 +44,25 @@
 	zones map[string]*ZoneOpenings
 	// refusing are the targets that took no opening packet, with their number.
 	refusing map[*targetEntry]uint32
+	// usual is the time from an opening packet to the caller's next one, and deviation
+	// how far single ones are off.
+	usual, deviation time.Duration
+}
+
+// limit returns the time after which an opening packet has found no taker.
+func (w *openingWatch) limit() time.Duration {
+	return min(max(w.usual+deviationFactor*w.deviation, shortestOpeningLimit), longestOpeningLimit)
+}
+
+// noteTime learns from an opening packet that was taken.
+func (w *openingWatch) noteTime(taken time.Duration) {
+	if w.usual == 0 {
+		w.usual = taken
+		w.deviation = taken / 2
+		return
+	}
+	w.deviation += ((taken - w.usual).Abs() - w.deviation) / deviationDivisor
+	w.usual += (taken - w.usual) / usualDivisor
 }
 
 func newOpeningWatch() openingWatch {
@@ -51,8 +78,11 @@
 	return known
 }
 
-// noteOpened notes that an opening packet was taken.
-func (w *openingWatch) noteOpened(key FlowKey, flow *flowEntry) {
+// noteOpened notes that an opening packet was taken, at last perhaps.
+func (w *openingWatch) noteOpened(now kernel.Instant, key FlowKey, flow *flowEntry) {
+	if flow.placedAt > 0 {
+		w.noteTime(now.Sub(flow.placedAt))
+	}
 	if _, waiting := w.flows[key]; waiting {
 		delete(w.flows, key)
 		w.zone(flow.target.target.Zone).Opened++
@@ -61,8 +91,9 @@
 
 // noteOverdue finds the opening packets that have found no taker.
 func (w *openingWatch) noteOverdue(now kernel.Instant) {
+	limit := w.limit()
 	for key, flow := range w.flows {
-		if now.Sub(flow.placedAt) < openingLimit {
+		if now.Sub(flow.placedAt) < limit {
 			continue
 		}
 		delete(w.flows, key)
--- a/internal/steer/openings_test.go
+++ b/internal/steer/openings_test.go
@@ -86,3 +86,21 @@
 	b.core.Judge(directory.Verdicts{AvoidedZones: []string{"north", "south"}})
 	assert.Equal(t, near.ID, b.core.Decide(start, opening(3, 0)).Target.ID, "no other zone is left")
 }
+
+// Callers and zones may be farther away than those of the deployments so far.
+func TestTheLimitOfOpeningPacketsFollowsWhatIsUsual(t *testing.T) {
+	b, near, _ := twoZones(t)
+	assert.Equal(t, shortestOpeningLimit, b.core.openings.limit())
+	const way = 90 * time.Millisecond
+	now := start
+	for port := range uint16(40) {
+		b.core.Decide(now, opening(port+1, 0))
+		b.core.Decide(now.Add(way), following(port+1, near.Token, 1))
+		now = now.Add(reportEvery)
+		b.core.Report(now, reportEvery)
+	}
+	assert.Greater(t, b.core.openings.limit(), way)
+	assert.LessOrEqual(t, b.core.openings.limit(), longestOpeningLimit)
+	b.core.Decide(now, opening(100, 0))
+	assert.Empty(t, b.core.Report(now.Add(way), reportEvery).Refused, "it can still be taken")
+}
