A target that registers after its zone was taken back keeps its own stewards

Change: the warm-up of a zone holds for the targets that had registered before. TestATargetThatRegistersAfterItsZoneWasTakenBack... fails without it.

--- a/internal/steer/warmup.go
+++ b/internal/steer/warmup.go
@@ -97,10 +97,11 @@
 	}
 }
 
-// takeBack spares the targets of a zone that may get new flows again.
+// takeBack spares the targets of a zone that may get new flows again. One that has
+// registered since has stewards of its own.
 func (c *Core) takeBack(now kernel.Instant, evacuation directory.Evacuation) {
 	for _, entry := range c.targets {
-		if entry.target.Zone != evacuation.Zone {
+		if entry.target.Zone != evacuation.Zone || entry.target.Revision > evacuation.Revision {
 			continue
 		}
 		if warmup, known := evacuation.Warmup(entry.target.Service); known {
--- a/internal/steer/warmup_test.go
+++ b/internal/steer/warmup_test.go
@@ -93,6 +93,26 @@
 	assert.Equal(t, "i-1", b.core.Decide(warm, opening(2, 0)).Target.ID, "near, and warm by now")
 }
 
+// Simulated fleet, seed 153: a node that started after a zone had been taken back, and
+// after a target had registered there, was a steward of the zone and took the budget of
+// the target's own steward besides.
+func TestATargetThatRegistersAfterItsZoneWasTakenBackHasItsOwnStewards(t *testing.T) {
+	b := booking(t)
+	b.core.key = directory.NodeKey("me")
+	b.evacuate(start, "north", true)
+	order := directory.Evacuation{Zone: "north", Revision: b.state.Evacuation("north").Revision, Warmups: []directory.ServiceWarmup{
+		{Service: "booking", Warmup: directory.Warmup{Left: time.Hour, Budget: 2, Stewards: []uint32{directory.NodeKey("me")}}},
+	}}
+	b.apply(start, directory.Command{Kind: directory.CommandEvacuate, Evacuation: order})
+	b.coldTarget(start, "i-1", "north", "10.0.0.1:1", directory.Warmup{
+		Left: time.Hour, Budget: 2, Stewards: []uint32{directory.NodeKey("other")},
+	})
+	fresh := New(b.core.settings)
+	fresh.key = directory.NodeKey("me")
+	require.True(t, fresh.Update(start, b.state.Since(0)))
+	assert.Equal(t, ReasonCold, fresh.Decide(start.Add(2*budgetWindow), opening(1, 0)).Reason)
+}
+
 // coldRun plays a fleet of nodes that open flows to targets of which tens turn cold,
 // and counts what each target takes. Nodes start anew, learn late and are frozen.
 type coldRun struct {
