A member that is not current registers no cold target

One function registers targets, one gives the orders about zones, for the process and the simulator. TestAMemberThatIsNotCurrentRegistersNoColdTarget fails without it.

--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -79,15 +79,22 @@
 	if p.beats.Take(beat.Target.ID, beat.Target.State) {
 		return p.spread.Choose(beat.Target.Zone, beat.Target.ID), nil
 	}
+	var refusal error
 	_, err = p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
 		core.Heard(now, beat.Target.ID)
 		known, registered := core.State().Target(beat.Target.ID)
 		if registered && known.State >= beat.Target.State {
 			return 0, Output{}
 		}
-		return core.Submit(now, directory.Command{Kind: directory.CommandPutTarget, Target: core.WithWarmup(beat.Target)})
+		var ticket Ticket
+		var output Output
+		ticket, output, refusal = core.Register(now, beat.Target)
+		return ticket, output
 	})
-	return "", err
+	if err != nil {
+		return "", err
+	}
+	return "", refusal
 }
 
 // Evacuate begins or ends the evacuation of a zone. It returns once a quorum has
@@ -99,11 +106,7 @@
 		if unknown = !p.hasZone(core, zone); unknown {
 			return 0, Output{}
 		}
-		order := directory.Evacuation{Zone: zone, Active: active, Revision: core.State().Evacuation(zone).Revision}
-		if !active {
-			order = core.takeBack(order)
-		}
-		return core.Submit(now, directory.Command{Kind: directory.CommandEvacuate, Evacuation: order})
+		return core.Submit(now, directory.Command{Kind: directory.CommandEvacuate, Evacuation: core.OrderFor(zone, active)})
 	})
 	switch {
 	case err != nil:
--- a/internal/registry/warmup.go
+++ b/internal/registry/warmup.go
@@ -13,6 +13,7 @@
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
 // Warmth is what is stated about the cold targets of a service.
@@ -143,16 +144,38 @@
 	return update
 }
 
-// WithWarmup returns a target that registers while it is cold with its budget and
-// stewards.
-func (c *Core) WithWarmup(target directory.Target) directory.Target {
-	if target.Warmup == nil {
-		return target
+// errBehind refuses the registration of a cold target at a member that may not know
+// what the target bears.
+var errBehind = steperror.New("registry.register", "", "this member is not current and cannot tell what a cold target bears")
+
+// Register hands the word of a target to the group: that it exists, or that it leaves.
+// One that registers while it is cold needs a member that is current.
+func (c *Core) Register(now kernel.Instant, target directory.Target) (Ticket, Output, error) {
+	if target.Warmup != nil {
+		if !c.IsCurrent(now) {
+			return 0, Output{}, errBehind
+		}
+		target.Warmup = c.warmupOf(target)
 	}
+	ticket, output := c.Submit(now, directory.Command{Kind: directory.CommandPutTarget, Target: target})
+	return ticket, output, nil
+}
+
+// warmupOf returns the warm-up of a target that is cold, with its budget and stewards.
+func (c *Core) warmupOf(target directory.Target) *directory.Warmup {
 	warmup := directory.Warmup{Left: target.Warmup.Left, Budget: c.budget(c.warmthOf(target.Service))}
 	warmup.Stewards = c.stewards(target.ID, warmup.Budget, maxStewards)
-	target.Warmup = &warmup
-	return target
+	return &warmup
+}
+
+// OrderFor returns the order that begins or ends the evacuation of a zone, given on
+// what this member knows.
+func (c *Core) OrderFor(zone string, active bool) directory.Evacuation {
+	order := directory.Evacuation{Zone: zone, Active: active, Revision: c.state.Evacuation(zone).Revision}
+	if active {
+		return order
+	}
+	return c.takeBack(order)
 }
 
 // takeBack returns the order that takes a zone back: its targets may be cold.
--- a/internal/registry/warmup_test.go
+++ b/internal/registry/warmup_test.go
@@ -57,7 +57,7 @@
 	leader := withNodes(c, 10)
 	command := put("i-1", "10.1.1.1:1", directory.TargetReady)
 	command.Target.Warmup = &directory.Warmup{Left: time.Second}
-	command.Target = leader.core.WithWarmup(command.Target)
+	command.Target.Warmup = leader.core.warmupOf(command.Target)
 	require.Equal(t, uint32(3), command.Target.Warmup.Budget)
 	require.Len(t, command.Target.Warmup.Stewards, 3)
 	require.NoError(t, c.submit(leader, command).Err)
@@ -121,3 +121,29 @@
 		require.LessOrEqual(t, len(table.since), maxWarmups+1)
 	}
 }
+
+// Simulated fleets, seeds 136 and 153: a member that had just started with an empty
+// state registered cold targets without the budget that it did not know of yet, and
+// all nodes sent them flows.
+func TestAMemberThatIsNotCurrentRegistersNoColdTarget(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	withNodes(c, 4)
+	name := address(1)
+	c.kill(name, true)
+	c.start(name)
+	m := c.machines[name]
+	require.False(t, m.core.IsCurrent(c.now))
+	cold := put("i-1", "10.1.1.1:1", directory.TargetReady).Target
+	cold.Warmup = &directory.Warmup{Left: 2 * time.Second}
+	_, _, err := m.core.Register(c.now, cold)
+	assert.ErrorIs(t, err, errBehind)
+	warm := put("i-2", "10.1.1.2:1", directory.TargetReady).Target
+	ticket, output, err := m.core.Register(c.now, warm)
+	require.NoError(t, err, "a warm one waits for the group")
+	c.take(m, output)
+	c.runUntil(5*time.Second, "an outcome", func() bool { _, done := m.outcomes[ticket]; return done })
+	c.runUntil(5*time.Second, "it is current", func() bool { return m.core.IsCurrent(c.now) })
+	_, output, err = m.core.Register(c.now, cold)
+	require.NoError(t, err)
+	c.take(m, output)
+}
