The simulator evacuates and loses zones, and its targets start cold

New faults: a zone is evacuated and taken back with its targets cold, all targets of a zone come back cold, a zone loses power where the group bears it. New rules: EVAC (1 s after the acknowledgement, a fifth of what the users allow) and FAILBACK (2 flows a second at a cold target, over all nodes). Two planted defects are seen (nodes that ignore evacuations, and budgets). Members spread their voters over the zones.

--- a/internal/lab/fleetsim/edge.go
+++ b/internal/lab/fleetsim/edge.go
@@ -265,6 +265,12 @@
 			update.Targets[position].State = directory.TargetReady
 		}
 	}
+	if e.world.settings.Switches.KeepZones {
+		update.Evacuations = nil
+	}
+	if e.world.settings.Switches.NoBudget {
+		dropBudgets(update)
+	}
 	if !e.core.Update(e.world.now, update) {
 		e.world.oracle.Broke(flowrules.Config, "%s got an update that does not fit", e.name)
 	}
@@ -273,6 +279,16 @@
 	e.ready = e.core.IsReady()
 }
 
+// dropBudgets takes out of an update what cold targets bear.
+func dropBudgets(update directory.Update) {
+	for position := range update.Targets {
+		update.Targets[position].Warmup = nil
+	}
+	for position := range update.Evacuations {
+		update.Evacuations[position].Warmups = nil
+	}
+}
+
 // packet decides on a packet of a caller and carries the decision out.
 func (e *edge) packet(p steer.Packet, f *flow) {
 	if !e.up {
--- a/internal/lab/fleetsim/fault.go
+++ b/internal/lab/fleetsim/fault.go
@@ -3,6 +3,10 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/lab/flowrules"
+	"github.com/beamdoor/beamdoor/internal/registry"
 )
 
 // faultPause is the longest time between two faults.
@@ -16,7 +20,7 @@
 	faults := []func(time.Duration){
 		w.killEdge, w.killEdges, w.killMember, w.wipeMember, w.restartAll, w.cutMember, w.cutEdge,
 		w.crashTarget, w.cutTarget, w.drainTarget, w.replaceMember, w.reuseAddress,
-		w.rollEdge, w.splitMembers, w.lureTargets,
+		w.rollEdge, w.evacuateZone, w.loseZone, w.returnCold, w.splitMembers, w.lureTargets,
 	}
 	length := time.Duration(300+w.random.IntN(4000)) * time.Millisecond
 	chosen := w.random.IntN(len(faults))
@@ -225,3 +229,113 @@
 		clear(w.split)
 	})
 }
+
+// giveOrder gives an order about a zone to one member after the other until it is
+// acknowledged.
+func (w *World) giveOrder(zone string, active bool, acknowledged func()) {
+	done := false
+	var again func()
+	again = func() {
+		if done {
+			return
+		}
+		if m := w.anyMember(); m.up && !w.cuts[m.name] {
+			command := directory.Command{Kind: directory.CommandEvacuate, Evacuation: m.core.OrderFor(zone, active)}
+			m.submit(command, func(outcome registry.Outcome) {
+				if !done && outcome.Err == nil && outcome.Result.Code == directory.CodeDone {
+					done = true
+					acknowledged()
+				}
+			})
+		}
+		w.after(orderPause, again)
+	}
+	again()
+}
+
+// orderPause is the time after which an operator gives an order again.
+const orderPause = time.Second
+
+// evacuateZone is planned work: new flows are kept from a zone for a while. One zone
+// at a time, so that orders about it have an order.
+func (w *World) evacuateZone(length time.Duration) {
+	zone := w.zone(w.random.IntN(w.settings.Zones))
+	if w.evacuating || w.settings.Zones < 2 {
+		return
+	}
+	w.evacuating = true
+	w.note("evacuate %s for %v", zone, length)
+	w.giveOrder(zone, true, func() {
+		w.evacuated[zone] = w.now
+		w.after(contact+length, func() {
+			w.note("take %s back", zone)
+			delete(w.evacuated, zone)
+			for _, t := range w.targets {
+				if t.zone == zone {
+					t.coldUntil = w.now.Add(flowrules.ColdTime)
+					t.coldTaken = nil
+				}
+			}
+			w.giveOrder(zone, false, func() { w.evacuating = false })
+		})
+	})
+}
+
+// inZone returns the living targets of a zone.
+func (w *World) inZone(zone string) []*target {
+	var list []*target
+	for _, t := range w.targets {
+		if t.lives && t.zone == zone {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// returnCold ends all targets of a zone; others come in their places, cold.
+func (w *World) returnCold(length time.Duration) {
+	w.returnColdIn(w.zone(w.random.IntN(w.settings.Zones)), length)
+}
+
+func (w *World) returnColdIn(zone string, length time.Duration) {
+	w.note("all targets of %s are down for %v", zone, length)
+	for _, t := range w.inZone(zone) {
+		t.crash()
+		w.after(length, func() { w.addTargetIn(t.service, zone) })
+	}
+}
+
+// loseZone takes the power from all that stands in a zone, where the group bears it.
+func (w *World) loseZone(length time.Duration) {
+	zone := w.zone(w.random.IntN(w.settings.Zones))
+	var members []*member
+	for _, m := range w.members {
+		if m.zone == zone {
+			members = append(members, m)
+		}
+	}
+	if len(members) > w.settings.Tolerance {
+		return
+	}
+	w.note("%s has no power for %v", zone, length)
+	w.returnColdIn(zone, length)
+	w.disturb(group)
+	for _, m := range members {
+		m.stop(true)
+		w.after(length, func() {
+			w.disturb(group)
+			m.start()
+		})
+	}
+	for _, e := range w.edges {
+		if e.zone != zone || !e.up {
+			continue
+		}
+		e.stop()
+		w.disturb(e.name)
+		w.after(length, func() {
+			w.disturb(e.name)
+			e.start()
+		})
+	}
+}
--- a/internal/lab/fleetsim/member.go
+++ b/internal/lab/fleetsim/member.go
@@ -100,6 +100,13 @@
 	settings.Address = m.name
 	settings.Zone = m.zone
 	settings.Voters = 2*m.world.settings.Tolerance + 1
+	if m.world.settings.Zones >= defaultZones {
+		settings.LostZones = 1
+	}
+	settings.WarmupLimits = registry.WarmupLimits{Over: 1}
+	settings.WarmthOf = func(directory.Service) (registry.Warmth, error) {
+		return registry.Warmth{Time: flowrules.ColdTime, Rate: flowrules.ColdRate}, nil
+	}
 	settings.Seeds = m.world.seeds()
 	settings.Bootstrap = m.bootstrap
 	if m.bootstrap {
@@ -182,6 +189,12 @@
 // submit hands a command to the core and calls back with the outcome.
 func (m *member) submit(command directory.Command, answer func(registry.Outcome)) {
 	ticket, output := m.core.Submit(m.world.now, command)
+	m.await(ticket, output, answer)
+}
+
+// await carries out what the core wants done for a request and calls back with its
+// outcome.
+func (m *member) await(ticket registry.Ticket, output registry.Output, answer func(registry.Outcome)) {
 	m.take(output)
 	if outcome, done := m.early[ticket]; done {
 		delete(m.early, ticket)
@@ -199,9 +212,12 @@
 		answer(true)
 		return
 	}
-	m.submit(directory.Command{Kind: directory.CommandPutTarget, Target: reported}, func(outcome registry.Outcome) {
-		answer(outcome.Err == nil)
-	})
+	ticket, output, err := m.core.Register(m.world.now, reported)
+	if err != nil {
+		answer(false)
+		return
+	}
+	m.await(ticket, output, func(outcome registry.Outcome) { answer(outcome.Err == nil) })
 }
 
 // operator submits versions that rise and notes which were acknowledged.
--- a/internal/lab/fleetsim/target.go
+++ b/internal/lab/fleetsim/target.go
@@ -28,7 +28,11 @@
 	address netip.AddrPort
 	state   directory.TargetState
 	lives   bool
-	flows   map[*flow]bool
+	// coldUntil is when it is warm; 0 for those that start with the world. coldTaken
+	// holds the times of the new flows before.
+	coldUntil kernel.Instant
+	coldTaken []kernel.Instant
+	flows     map[*flow]bool
 	// acknowledgedAt is when the drain was acknowledged; 0 before.
 	acknowledgedAt kernel.Instant
 }
@@ -39,11 +43,21 @@
 	return w.addTargetAt(service, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(number >> 8), byte(number)}), 80))
 }
 
+// addTargetIn adds a target in a zone.
+func (w *World) addTargetIn(service, zone string) *target {
+	t := w.addTarget(service)
+	t.zone = zone
+	return t
+}
+
 func (w *World) addTargetAt(service string, address netip.AddrPort) *target {
 	t := &target{
 		world: w, id: fmt.Sprintf("t-%d-%d", w.nextTarget, len(w.targets)), number: len(w.targets), service: service,
 		zone: w.zone(len(w.targets)), address: address, state: directory.TargetReady, lives: true, flows: map[*flow]bool{},
 	}
+	if w.started {
+		t.coldUntil = w.now.Add(flowrules.ColdTime)
+	}
 	w.targets = append(w.targets, t)
 	w.every(heartbeat, func() {
 		if t.lives {
@@ -63,9 +77,30 @@
 }
 
 func (t *target) describe() directory.Target {
-	return directory.Target{
+	described := directory.Target{
 		ID: t.id, Number: uint64(t.number), Service: t.service, Zone: t.zone, Address: t.address, Slots: 2, State: t.state,
 	}
+	if left := t.coldUntil.Sub(t.world.now); left > 0 {
+		described.Warmup = &directory.Warmup{Left: left}
+	}
+	return described
+}
+
+// noteCold counts a new flow of a cold target and returns the number in the second
+// before; 0 when it is warm.
+func (t *target) noteCold() int {
+	now := t.world.now
+	if !now.Before(t.coldUntil) {
+		return 0
+	}
+	t.coldTaken = append(t.coldTaken, now)
+	count := 0
+	for _, at := range t.coldTaken {
+		if now.Sub(at) < time.Second {
+			count++
+		}
+	}
+	return count
 }
 
 // beat tells some member of the target.
@@ -177,6 +212,10 @@
 	if t.acknowledgedAt != 0 {
 		taken.DrainedFor = w.now.Sub(t.acknowledgedAt)
 	}
+	if at, evacuated := w.evacuated[t.zone]; evacuated {
+		taken.EvacuatedFor = w.now.Sub(at)
+	}
+	taken.InSecond = t.noteCold()
 	w.oracle.Took(taken)
 	t.flows[f] = true
 	w.after(callerTime, func() { f.opened(t, token) })
--- a/internal/lab/fleetsim/world.go
+++ b/internal/lab/fleetsim/world.go
@@ -32,6 +32,10 @@
 	EarlyDrain bool
 	// ForgetFaults makes nodes remember only the member that they left last.
 	ForgetFaults bool
+	// KeepZones makes nodes ignore that zones are evacuated.
+	KeepZones bool
+	// NoBudget makes nodes ignore what cold targets bear.
+	NoBudget bool
 	// KeepOld makes nodes ignore that targets drain.
 	KeepOld bool
 }
@@ -166,9 +170,16 @@
 	// plannedAt is the same for planned work, which excuses no broken flow.
 	plannedAt map[string]kernel.Instant
 	// lured is the member that is cut off from all but targets, or "".
-	lured      string
+	lured string
+	// evacuated holds when the evacuation of a zone was acknowledged, until it is to
+	// be taken back.
+	evacuated map[string]kernel.Instant
+	// evacuating is set from the order to evacuate a zone until it was taken back.
+	evacuating bool
 	nextTarget int
-	log        []string
+	// started is set once callers come: targets that start later are cold.
+	started bool
+	log     []string
 }
 
 // New returns a world in which nothing has happened yet.
@@ -182,6 +193,7 @@
 		cuts:        map[string]bool{},
 		disturbedAt: map[string]kernel.Instant{},
 		plannedAt:   map[string]kernel.Instant{},
+		evacuated:   map[string]kernel.Instant{},
 	}
 	w.operator.world = w
 	allow(w.oracle)
@@ -275,6 +287,7 @@
 	w.build()
 	start := w.now.Add(6 * time.Second)
 	w.runUntil(start)
+	w.started = true
 	for _, c := range w.callers {
 		c.start()
 	}
--- a/internal/lab/fleetsim/world_test.go
+++ b/internal/lab/fleetsim/world_test.go
@@ -71,10 +71,12 @@
 		needed   int
 		members  int
 	}{
-		"a node alone holds targets for lost": {Switches{HastyLoss: true}, flowrules.Flow, 40, 1, 0},
-		"nodes go between two members":        {Switches{ForgetFaults: true}, flowrules.Config, 160, 2, 9},
-		"a drain is acknowledged early":       {Switches{EarlyDrain: true}, flowrules.Drain, 40, 1, 0},
-		"nodes ignore that targets drain":     {Switches{KeepOld: true}, flowrules.Drain, 40, 1, 0},
+		"a node alone holds targets for lost":   {Switches{HastyLoss: true}, flowrules.Flow, 40, 1, 0},
+		"nodes go between two members":          {Switches{ForgetFaults: true}, flowrules.Config, 160, 2, 9},
+		"a drain is acknowledged early":         {Switches{EarlyDrain: true}, flowrules.Drain, 40, 1, 0},
+		"nodes ignore that zones are evacuated": {Switches{KeepZones: true}, flowrules.Evacuated, 40, 1, 0},
+		"nodes ignore what cold targets bear":   {Switches{NoBudget: true}, flowrules.Cold, 40, 1, 0},
+		"nodes ignore that targets drain":       {Switches{KeepOld: true}, flowrules.Drain, 40, 1, 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/flowrules/oracle.go
+++ b/internal/lab/flowrules/oracle.go
@@ -28,6 +28,10 @@
 	Config Rule = "CONFIG"
 	// Lost: what was acknowledged outlives every fault.
 	Lost Rule = "LOST"
+	// Evacuated: targets of a zone whose evacuation was acknowledged get no new flows.
+	Evacuated Rule = "EVAC"
+	// Cold: a target that is cold gets no more new flows than it bears.
+	Cold Rule = "FAILBACK"
 	// Recover: callers are served again after the last fault.
 	Recover Rule = "RECOVER"
 )
@@ -37,6 +41,13 @@
 	// DrainBound is how long after its acknowledgement a draining target may
 	// still get new flows.
 	DrainBound = 3 * time.Second
+	// EvacuationBound is the same for the targets of a zone that is evacuated: a fifth
+	// of what the users allow.
+	EvacuationBound = time.Second
+	// ColdRate is the number of new flows that a cold target bears in a second, and
+	// ColdTime how long it is cold after its start.
+	ColdRate = 2
+	ColdTime = 3 * time.Second
 	// InForceBound is how long an acknowledged version may take to be in force.
 	InForceBound = 3 * time.Second
 	// Contact is how long parts must have run undisturbed for the rules that are
@@ -127,6 +138,11 @@
 	// DrainedFor is the time since the target's drain was acknowledged; 0 when it
 	// was not.
 	DrainedFor time.Duration
+	// EvacuatedFor is the same for the evacuation of its zone.
+	EvacuatedFor time.Duration
+	// InSecond is the number of new flows that the target took in the second before,
+	// this one included, while it was cold; 0 when it is not.
+	InSecond int
 	// Calm is set when the node and the members have run undisturbed.
 	Calm bool
 }
@@ -139,6 +155,12 @@
 	if flow.DrainedFor > DrainBound && flow.Calm {
 		o.Broke(Drain, "%s took a flow through %s %v after its drain was acknowledged", flow.Target, flow.Through, flow.DrainedFor)
 	}
+	if flow.EvacuatedFor > EvacuationBound && flow.Calm {
+		o.Broke(Evacuated, "%s took a flow through %s %v after the evacuation of its zone was acknowledged", flow.Target, flow.Through, flow.EvacuatedFor)
+	}
+	if flow.InSecond > ColdRate {
+		o.Broke(Cold, "%s is cold and took %d flows in a second, the last through %s", flow.Target, flow.InSecond, flow.Through)
+	}
 }
 
 // FlowReset is a reset that reached a caller.
