--- a/cmd/beamdoor-node/main.go
+++ b/cmd/beamdoor-node/main.go
@@ -42,11 +42,20 @@
 		roleCommand("member", "Run a control member", &file, platform.RunMember),
 		checkCommand(&file),
 		explainCommand(),
-		evacuationCommand(func() ([]string, error) { return platform.ReadMembers(file) }),
+		evacuationCommand(func() ([]string, error) { return seeds(file) }),
 	)
 	return root
 }
 
+// seeds returns the control members that a settings file of any role names.
+func seeds(file string) ([]string, error) {
+	settings, err := platform.ReadSettings(file, platform.RoleMember)
+	if err != nil {
+		settings, err = platform.ReadSettings(file, platform.RoleEdge)
+	}
+	return settings.Seeds(), err
+}
+
 func roleCommand(use, short string, file *string, run func(context.Context, string) error) *cobra.Command {
 	return &cobra.Command{
 		Use:   use,
