--- a/internal/directory/verdicts.go
+++ b/internal/directory/verdicts.go
@@ -77,3 +77,10 @@
 	}
 	return names
 }
+
+// ZoneOpenings counts opening packets to the targets of a zone since the last report.
+type ZoneOpenings struct {
+	Zone string
+	// Opened were taken, and Refused found no taker.
+	Opened, Refused uint32
+}
--- a/internal/edge/subscriber.go
+++ b/internal/edge/subscriber.go
@@ -320,9 +320,7 @@
 	message := registry.Evidence{Answering: evidence.Answering, Heard: heard}
 	message.Silent = targetsOf(evidence.Silent)
 	message.Refused = targetsOf(evidence.Refused)
-	for _, counted := range evidence.Openings {
-		message.Openings = append(message.Openings, registry.ZoneOpenings(counted))
-	}
+	message.Openings = evidence.Openings
 	return message
 }
 
--- a/internal/registry/messages.go
+++ b/internal/registry/messages.go
@@ -198,7 +198,7 @@
 	// Refused are the targets that took no opening packets; their weight is the
 	// number of these. Openings count those of all targets by zone.
 	Refused  []SilentTarget
-	Openings []ZoneOpenings
+	Openings []directory.ZoneOpenings
 	// Heard are the targets whose heartbeats came to the node.
 	Heard []directory.Token
 }
@@ -249,7 +249,7 @@
 	evidence.Heard = directory.DecodeTokens(decoder)
 	evidence.Refused = decodeSilent(decoder)
 	for count := decoder.Count(smallestOpenings); count > 0; count-- {
-		counted := ZoneOpenings{Zone: decoder.String(), Opened: decoder.Uint32(), Refused: decoder.Uint32()}
+		counted := directory.ZoneOpenings{Zone: decoder.String(), Opened: decoder.Uint32(), Refused: decoder.Uint32()}
 		evidence.Openings = append(evidence.Openings, counted)
 	}
 	return evidence
--- a/internal/registry/openings.go
+++ b/internal/registry/openings.go
@@ -38,13 +38,6 @@
 	longestZoneHold = 2 * time.Second
 )
 
-// ZoneOpenings counts opening packets to the targets of a zone since the last report.
-type ZoneOpenings struct {
-	Zone string
-	// Opened were taken, and Refused found no taker.
-	Opened, Refused uint32
-}
-
 // zoneRecord is what the leader knows of the opening packets to a zone.
 type zoneRecord struct {
 	// counts are those of the last zoneWindow.
@@ -55,19 +48,19 @@
 
 type timedOpenings struct {
 	at kernel.Instant
-	ZoneOpenings
+	directory.ZoneOpenings
 }
 
 // openingTable holds opening packets as nodes report them. Each member sums up what
 // its nodes report; the leader's records are those of all.
 type openingTable struct {
-	unsent  map[string]ZoneOpenings
+	unsent  map[string]directory.ZoneOpenings
 	refused map[directory.Token]SilentTarget
 	zones   map[string]*zoneRecord
 }
 
 func newOpeningTable() openingTable {
-	return openingTable{unsent: map[string]ZoneOpenings{}, refused: map[directory.Token]SilentTarget{}, zones: map[string]*zoneRecord{}}
+	return openingTable{unsent: map[string]directory.ZoneOpenings{}, refused: map[directory.Token]SilentTarget{}, zones: map[string]*zoneRecord{}}
 }
 
 // add sums up the report of a node.
@@ -89,8 +82,8 @@
 }
 
 // take returns the sums since the last call.
-func (o *openingTable) take() (zones []ZoneOpenings, refused []SilentTarget) {
-	zones = slices.SortedFunc(maps.Values(o.unsent), func(a, b ZoneOpenings) int { return cmp.Compare(a.Zone, b.Zone) })
+func (o *openingTable) take() (zones []directory.ZoneOpenings, refused []SilentTarget) {
+	zones = slices.SortedFunc(maps.Values(o.unsent), func(a, b directory.ZoneOpenings) int { return cmp.Compare(a.Zone, b.Zone) })
 	refused = slices.SortedFunc(maps.Values(o.refused), func(a, b SilentTarget) int { return cmp.Compare(a.Token, b.Token) })
 	clear(o.unsent)
 	clear(o.refused)
@@ -98,7 +91,7 @@
 }
 
 // note enters a member's sums into the leader's records.
-func (o *openingTable) note(now kernel.Instant, zones []ZoneOpenings) {
+func (o *openingTable) note(now kernel.Instant, zones []directory.ZoneOpenings) {
 	for _, counted := range zones {
 		record, known := o.zones[counted.Zone]
 		if !known {
--- a/internal/registry/openings_test.go
+++ b/internal/registry/openings_test.go
@@ -53,7 +53,7 @@
 
 func TestAZoneThatTakesNoOpeningPacketsIsAvoidedSoon(t *testing.T) {
 	b := newOpeningBench(t)
-	refusing := Evidence{Openings: []ZoneOpenings{{Zone: "zone-1", Opened: 1, Refused: 6}, {Zone: "zone-2", Opened: 7}}}
+	refusing := Evidence{Openings: []directory.ZoneOpenings{{Zone: "zone-1", Opened: 1, Refused: 6}, {Zone: "zone-2", Opened: 7}}}
 	b.report(300*time.Millisecond, 2, refusing)
 	assert.Equal(t, []string{"zone-1"}, b.verdicts().AvoidedZones)
 	assert.Equal(t, 1, b.events[eventlog.ZoneAvoided])
@@ -69,7 +69,7 @@
 // Links that lose a tenth of all packets, a few targets that are down, an idle
 // deployment.
 func TestAZoneThatTakesMostOpeningPacketsIsNotAvoided(t *testing.T) {
-	cases := map[string]ZoneOpenings{
+	cases := map[string]directory.ZoneOpenings{
 		"lossy":        {Opened: 20, Refused: 8},
 		"half of them": {Opened: 10, Refused: 10},
 		"idle":         {Refused: 1},
@@ -78,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newOpeningBench(t)
 			counted.Zone = "zone-1"
-			b.report(time.Second, 2, Evidence{Openings: []ZoneOpenings{counted}})
+			b.report(time.Second, 2, Evidence{Openings: []directory.ZoneOpenings{counted}})
 			assert.Empty(t, b.verdicts().AvoidedZones)
 		})
 	}
@@ -87,7 +87,7 @@
 // Under a burst all targets are full and silent: there is nowhere else to go.
 func TestWhenMostZonesRefuseNoneIsAvoided(t *testing.T) {
 	b := newOpeningBench(t)
-	b.report(time.Second, 3, Evidence{Openings: []ZoneOpenings{{Zone: "zone-0", Refused: 9}, {Zone: "zone-1", Refused: 9}}})
+	b.report(time.Second, 3, Evidence{Openings: []directory.ZoneOpenings{{Zone: "zone-0", Refused: 9}, {Zone: "zone-1", Refused: 9}}})
 	assert.Empty(t, b.verdicts().AvoidedZones)
 }
 
@@ -126,13 +126,13 @@
 func TestOpeningPacketsOfAllNodesAreSummedUp(t *testing.T) {
 	evidence := Evidence{
 		Refused:  []SilentTarget{{Token: 1, Weight: 2, Nodes: 1}},
-		Openings: []ZoneOpenings{{Zone: "a", Opened: 1, Refused: 2}},
+		Openings: []directory.ZoneOpenings{{Zone: "a", Opened: 1, Refused: 2}},
 	}
 	table := newOpeningTable()
 	table.add(evidence)
 	table.add(evidence)
 	zones, refused := table.take()
-	assert.Equal(t, []ZoneOpenings{{Zone: "a", Opened: 2, Refused: 4}}, zones)
+	assert.Equal(t, []directory.ZoneOpenings{{Zone: "a", Opened: 2, Refused: 4}}, zones)
 	assert.Equal(t, []SilentTarget{{Token: 1, Weight: 4, Nodes: 2}}, refused)
 	zones, refused = table.take()
 	assert.Empty(t, zones)
--- a/internal/steer/evidence.go
+++ b/internal/steer/evidence.go
@@ -100,7 +100,7 @@
 	// Refused are the targets that took no opening packets, with their number, and
 	// Openings count those of all targets by zone.
 	Refused  []SilentTarget
-	Openings []ZoneOpenings
+	Openings []directory.ZoneOpenings
 }
 
 // Report returns the evidence since the last report. When the node itself was
--- a/internal/steer/openings.go
+++ b/internal/steer/openings.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/kernel"
 )
 
@@ -31,17 +32,10 @@
 	refusedFor = time.Second
 )
 
-// ZoneOpenings counts opening packets to the targets of a zone since the last report.
-type ZoneOpenings struct {
-	Zone string
-	// Opened were taken, and Refused found no taker.
-	Opened, Refused uint32
-}
-
 // openingWatch follows the opening packets that are under way.
 type openingWatch struct {
 	flows map[FlowKey]*flowEntry
-	zones map[string]*ZoneOpenings
+	zones map[string]*directory.ZoneOpenings
 	// refusing are the targets that took no opening packet, with their number.
 	refusing map[*targetEntry]uint32
 	// usual is the time from an opening packet to the caller's next one, and deviation
@@ -66,13 +60,13 @@
 }
 
 func newOpeningWatch() openingWatch {
-	return openingWatch{flows: map[FlowKey]*flowEntry{}, zones: map[string]*ZoneOpenings{}, refusing: map[*targetEntry]uint32{}}
+	return openingWatch{flows: map[FlowKey]*flowEntry{}, zones: map[string]*directory.ZoneOpenings{}, refusing: map[*targetEntry]uint32{}}
 }
 
-func (w *openingWatch) zone(name string) *ZoneOpenings {
+func (w *openingWatch) zone(name string) *directory.ZoneOpenings {
 	known, exists := w.zones[name]
 	if !exists {
-		known = &ZoneOpenings{Zone: name}
+		known = &directory.ZoneOpenings{Zone: name}
 		w.zones[name] = known
 	}
 	return known
@@ -104,7 +98,7 @@
 }
 
 // take returns what was counted since the last call.
-func (w *openingWatch) take() (zones []ZoneOpenings, refusing []SilentTarget) {
+func (w *openingWatch) take() (zones []directory.ZoneOpenings, refusing []SilentTarget) {
 	for _, counted := range w.zones {
 		zones = append(zones, *counted)
 	}
@@ -113,7 +107,7 @@
 			refusing = append(refusing, SilentTarget{Token: entry.target.Token, Weight: count})
 		}
 	}
-	slices.SortFunc(zones, func(a, b ZoneOpenings) int { return cmp.Compare(a.Zone, b.Zone) })
+	slices.SortFunc(zones, func(a, b directory.ZoneOpenings) int { return cmp.Compare(a.Zone, b.Zone) })
 	slices.SortFunc(refusing, func(a, b SilentTarget) int { return cmp.Compare(a.Token, b.Token) })
 	clear(w.zones)
 	clear(w.refusing)
--- a/internal/steer/openings_test.go
+++ b/internal/steer/openings_test.go
@@ -38,7 +38,7 @@
 	assert.Equal(t, near.ID, b.core.Decide(start, opening(1, 0)).Target.ID)
 	evidence := b.tick(start, start.Add(reportEvery))
 	assert.Equal(t, []SilentTarget{{Token: near.Token, Weight: 1}}, evidence.Refused)
-	assert.Equal(t, []ZoneOpenings{{Zone: "north", Refused: 1}}, evidence.Openings)
+	assert.Equal(t, []directory.ZoneOpenings{{Zone: "north", Refused: 1}}, evidence.Openings)
 	assert.Equal(t, far.ID, b.core.Decide(start.Add(reportEvery), opening(2, 0)).Target.ID)
 	later := start.Add(reportEvery + refusedFor)
 	b.core.Decide(start.Add(2*reportEvery), following(2, far.Token, 1))
@@ -52,7 +52,7 @@
 	b.core.Decide(start.Add(5*time.Millisecond), following(1, near.Token, 1))
 	evidence := b.tick(start, start.Add(reportEvery))
 	assert.Empty(t, evidence.Refused)
-	assert.Equal(t, []ZoneOpenings{{Zone: "north", Opened: 1}}, evidence.Openings)
+	assert.Equal(t, []directory.ZoneOpenings{{Zone: "north", Opened: 1}}, evidence.Openings)
 	evidence = b.tick(start.Add(reportEvery), start.Add(2*reportEvery))
 	assert.Empty(t, evidence.Openings, "each is counted once")
 }
