--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/beamdoor/beamdoor/internal/kernel"
-	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
 // Role is the role of a member in its term.
@@ -389,120 +388,6 @@
 	return without(all, n.settings.ID)
 }
 
-// Propose appends a command to the log. It fails on a member that does not lead.
-func (n *Node) Propose(now kernel.Instant, data []byte) (index, term uint64, err error) {
-	if n.role != Leader {
-		return 0, 0, steperror.New("raft.propose", "", "this member is not the leader")
-	}
-	entry := n.appendOwn(now, EntryCommand, data)
-	return entry.Index, entry.Term, nil
-}
-
-// ProposeMembership appends a new membership that differs by one member. The
-// change before it and an entry of this term must be committed (Raft thesis,
-// section 4.1, and the correction of 2015).
-func (n *Node) ProposeMembership(now kernel.Instant, next Membership) (index, term uint64, err error) {
-	const step = "raft.propose_membership"
-	if n.role != Leader {
-		return 0, 0, steperror.New(step, "", "this member is not the leader")
-	}
-	if n.commit < n.membershipIdx || n.commit < n.electedIndex {
-		return 0, 0, steperror.New(step, "", "the change before is not committed yet")
-	}
-	if len(next.Voters) == 0 {
-		return 0, 0, steperror.New(step, "", "the last voter cannot be removed")
-	}
-	for _, id := range next.Voters {
-		if !n.membership.IsVoter(id) && n.Match(id) < n.commit {
-			return 0, 0, steperror.New(step, "", "the learner has not caught up")
-		}
-	}
-	entry := n.appendOwn(now, EntryMembership, EncodeMembership(next))
-	n.reloadMembership()
-	return entry.Index, entry.Term, nil
-}
-
-func (n *Node) appendOwn(now kernel.Instant, kind EntryKind, data []byte) Entry {
-	entry := Entry{Term: n.hard.Term, Index: n.log.lastIndex() + 1, Kind: kind, Data: data}
-	n.log.append(entry)
-	n.markUnsaved(entry.Index)
-	for _, id := range n.others() {
-		n.sendAppend(now, id, false)
-	}
-	return entry
-}
-
-func (n *Node) markUnsaved(index uint64) {
-	if n.unsavedFrom == 0 || index < n.unsavedFrom {
-		n.unsavedFrom = index
-	}
-	if n.persisted >= index {
-		n.persisted = index - 1
-	}
-}
-
-// HasReady reports whether Ready would return work.
-func (n *Node) HasReady() bool {
-	return n.hardChanged || n.unsavedFrom != 0 || n.newSnapshot != nil ||
-		len(n.outbox) > 0 || n.appendsDue || n.applied < n.commit
-}
-
-// Ready returns the work that has come up since the last call.
-func (n *Node) Ready() Ready {
-	n.buildAppends()
-	ready := Ready{
-		HardState:        n.hard,
-		HardStateChanged: n.hardChanged,
-		Snapshot:         n.newSnapshot,
-		Messages:         n.outbox,
-	}
-	if n.unsavedFrom != 0 {
-		ready.Entries = append(ready.Entries, n.log.slice(n.unsavedFrom, n.log.lastIndex())...)
-	}
-	if n.applied < n.commit {
-		ready.Committed = append(ready.Committed, n.log.slice(n.applied+1, n.commit)...)
-		n.applied = n.commit
-	}
-	n.hardChanged = false
-	n.unsavedFrom = 0
-	n.newSnapshot = nil
-	n.outbox = nil
-	return ready
-}
-
-// Advance tells the node that all that the last Ready held is on the disk.
-func (n *Node) Advance(now kernel.Instant) {
-	if n.unsavedFrom == 0 {
-		n.persisted = n.log.lastIndex()
-	} else {
-		n.persisted = n.unsavedFrom - 1
-	}
-	if n.role == Leader {
-		n.advanceCommit(now)
-	}
-}
-
-// Compact tells the node that the state machine was saved at index.
-func (n *Node) Compact(index uint64, data []byte) Snapshot {
-	term, _ := n.log.term(index)
-	snapshot := Snapshot{
-		Index:      index,
-		Term:       term,
-		Membership: n.log.membershipAt(index),
-		Data:       data,
-	}
-	n.log.compact(snapshot)
-	return snapshot
-}
-
-// Entries returns the entries after the last snapshot.
-func (n *Node) Entries() []Entry { return n.log.entries }
-
-// Restored returns all that the disk must hold, for a rewrite of the log.
-func (n *Node) Restored() Restored {
-	return Restored{HardState: n.hard, Snapshot: n.log.snapshot, Entries: n.log.entries}
-}
-
 func (n *Node) send(message Message) {
 	message.From = n.settings.ID
 	message.Identity = n.settings.Identity
