--- a/internal/lab/flowrules/oracle.go
+++ b/internal/lab/flowrules/oracle.go
@@ -42,7 +42,7 @@
 	// still get new flows.
 	DrainBound = 3 * time.Second
 	// EvacuationBound is the same for the targets of a zone that is evacuated: a fifth
-	// of what the users allow.
+	// of what the users allow. Real processes that share a machine get DrainBound.
 	EvacuationBound = time.Second
 	// ColdRate is the number of new flows that a cold target bears in a second, and
 	// ColdTime how long it is cold after its start.
@@ -84,6 +84,8 @@
 // Oracle counts what callers got and the breaches of rules. Many goroutines may
 // use it at once.
 type Oracle struct {
+	evacuationBound time.Duration
+
 	mutex    sync.Mutex
 	report   Report
 	services map[string]map[string]bool
@@ -92,14 +94,29 @@
 	runs   map[uint64]int
 }
 
+// Option changes a new oracle.
+type Option func(*Oracle)
+
+// WithEvacuationBound sets how long a target may still get new flows after the
+// evacuation of its zone was acknowledged; the default is EvacuationBound.
+func WithEvacuationBound(bound time.Duration) Option {
+	return func(o *Oracle) { o.evacuationBound = bound }
+}
+
 // New returns an oracle that has seen nothing.
-func New() *Oracle {
-	return &Oracle{
+func New(opts ...Option) *Oracle {
+	o := &Oracle{
+		evacuationBound: EvacuationBound,
+
 		report:   Report{Reasons: map[string]int{}},
 		services: map[string]map[string]bool{},
 		unsafe:   map[uint64]bool{},
 		runs:     map[uint64]int{},
 	}
+	for _, opt := range opts {
+		opt(o)
+	}
+	return o
 }
 
 // Broke notes a breach of a rule.
@@ -155,7 +172,7 @@
 	if flow.DrainedFor > DrainBound && flow.Calm {
 		o.Broke(Drain, "%s took a flow through %s %v after its drain was acknowledged", flow.Target, flow.Through, flow.DrainedFor)
 	}
-	if flow.EvacuatedFor > EvacuationBound && flow.Calm {
+	if flow.EvacuatedFor > o.evacuationBound && flow.Calm {
 		o.Broke(Evacuated, "%s took a flow through %s %v after the evacuation of its zone was acknowledged", flow.Target, flow.Through, flow.EvacuatedFor)
 	}
 	if flow.InSecond > ColdRate {
