--- a/internal/registry/liveness.go
+++ b/internal/registry/liveness.go
@@ -260,7 +260,7 @@
 		seen.lost = quiet >= c.settings.LostAfter
 		return seen.lost
 	}
-	weight, nodes := seen.evidence(now)
+	weight, nodes := seen.silence(now)
 	if seen.questionedAt == 0 || now.Sub(seen.questionedAt) < questionTime {
 		return false
 	}
--- a/internal/registry/openings.go
+++ b/internal/registry/openings.go
@@ -172,18 +172,6 @@
 	s.refusals[from] = silence{weight: report.weight + refused.Weight, nodes: max(report.nodes, refused.Nodes), at: now}
 }
 
-// evidence sums up what speaks for a target's death: callers who wait, and the opening
-// packets that it did not take. Since new flows avoid it, there will be no more of the
-// latter, and of the callers who would wait.
-func (s *sighting) evidence(now kernel.Instant) (weight, nodes uint32) {
-	weight, nodes = s.silence(now)
-	if weight > 0 && s.refuses(now) {
-		weight += refusalsNeeded
-		nodes = max(nodes, silentNodesNeeded)
-	}
-	return weight, nodes
-}
-
 // refuses reports whether a target is suspected because it takes no opening packets.
 // A sign of it ends that.
 func (s *sighting) refuses(now kernel.Instant) bool {
--- a/internal/registry/openings_test.go
+++ b/internal/registry/openings_test.go
@@ -141,29 +141,3 @@
 	require.NoError(t, err)
 	assert.Equal(t, evidence, decoded)
 }
-
-// Bench day trouble-2 of patitas-uio-now-grown, 30 targets dark at once: since new flows
-// avoided them, fewer callers waited, the verdict came later and idle flows were reset
-// later (0.951 before, 0.947 without this).
-func TestRefusalsCountForTheVerdictOnATargetWhoseCallersWait(t *testing.T) {
-	token := func(b *openingBench) directory.Token { return b.tokens["zone-1"][0] }
-	refused := func(b *openingBench) []SilentTarget { return []SilentTarget{{Token: token(b), Weight: 2, Nodes: 1}} }
-	waiting := func(b *openingBench) []SilentTarget { return []SilentTarget{{Token: token(b), Weight: 1, Nodes: 1}} }
-	b := newOpeningBench(t)
-	b.report(300*time.Millisecond, 2, Evidence{Refused: refused(b)})
-	b.report(900*time.Millisecond, 1, Evidence{Silent: waiting(b)})
-	assert.Equal(t, []directory.Token{token(b)}, b.verdicts().Lost)
-
-	b = newOpeningBench(t)
-	b.report(1200*time.Millisecond, 1, Evidence{Silent: waiting(b)})
-	assert.Empty(t, b.verdicts().Lost, "one caller who waits is not enough")
-
-	b = newOpeningBench(t)
-	b.report(1200*time.Millisecond, 2, Evidence{Refused: refused(b)})
-	assert.Empty(t, b.verdicts().Lost, "a target that is full takes no opening packets either")
-
-	b = newOpeningBench(t)
-	both := Evidence{Refused: refused(b), Silent: waiting(b), Answering: []directory.Token{token(b)}}
-	b.report(1200*time.Millisecond, 2, both)
-	assert.Empty(t, b.verdicts().Lost, "it answers others")
-}
