--- a/scripts/regressions.sh
+++ b/scripts/regressions.sh
@@ -11,7 +11,8 @@
 : "${BENCH:?set BENCH to the path of the bench}"
 folder=${1:?name the folder of the site files}
 jobs=${2:-4}
-sites="large/patitas-uio-large large/swancoast-geo-large
+sites="shifted/patitas-uio-now-grown
+  large/patitas-uio-large large/swancoast-geo-large
   further/bluemahoe-cores further-grown/bluemahoe-cores-grown
   grown/patitas-uio-grown grown/swancoast-geo-grown"
 failed=0
