--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the days of platform/days on the users' bench, one kind of trouble each,
+# Plays the days of deploy/days and platform/days on the users' bench, one kind of trouble each,
 # and prints a line a day. Exits with 1 when a day broke a rule or had a fault.
 # A kind of trouble that the site does not know is listed as not played.
 #
@@ -43,6 +43,6 @@
 }
 export -f play
 
-find platform/days -name "$pattern.toml" | sort | xargs -P "$jobs" -I {} bash -c 'play {}' | tee "$results/summary"
+find deploy/days platform/days -name "$pattern.toml" | sort | xargs -P "$jobs" -I {} bash -c 'play {}' | tee "$results/summary"
 echo "$(grep -c ^green "$results/summary") green, $(grep -c ^RED "$results/summary") red, $(grep -c ^n/a "$results/summary") not played; outputs in $results"
 ! grep -q ^RED "$results/summary"
--- a/scripts/play-seeds.sh
+++ b/scripts/play-seeds.sh
@@ -4,7 +4,7 @@
 #
 #   BENCH=/path/to/bench scripts/play-seeds.sh SITE "DAY..." "SEED..." [JOBS] [WHY]
 #
-# A day is the name of a standard day or a file of platform/days.
+# A day is the name of a standard day or a file of deploy/days or platform/days.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 : "${BENCH:?set BENCH to the path of the bench}"
