--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -12,9 +12,7 @@
 )
 
 const (
-	// endedLimit is the least number of ended targets that are remembered, so that
-	// late calls and packets of theirs are known for what they are. As many as live
-	// are remembered where these are more: a release ends all of them within minutes.
+	// endedLimit is the least number of ended targets that are remembered.
 	endedLimit = 4096
 	// editLimit is the number of edits kept for nodes that are behind.
 	editLimit = 64
@@ -263,10 +261,15 @@
 	}
 }
 
+// EndedLimit returns the number of ended targets that are remembered beside some that
+// live, so that late calls and packets of theirs are known for what they are: as many as
+// live where these are many, since a release ends all of them within minutes.
+func EndedLimit(living int) int { return max(endedLimit, living) }
+
 // rememberEnded remembers a target that has ended, and forgets the oldest ones.
 func (s *State) rememberEnded(target *Target) {
 	s.ended = append(s.ended, target)
-	for len(s.ended) > max(endedLimit, len(s.tokens)-len(s.ended)) {
+	for len(s.ended) > EndedLimit(len(s.tokens)-len(s.ended)) {
 		oldest := s.ended[0]
 		s.ended[0] = nil
 		s.ended = s.ended[1:]
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -113,6 +113,8 @@
 	routes        map[netip.AddrPort]*routeEntry
 	targets       map[directory.Token]*targetEntry
 	services      map[string][]*targetEntry
+	// ended are the targets that have ended, in the order of their ends.
+	ended []*targetEntry
 	flows         map[FlowKey]*flowEntry
 	// unanswered are the flows whose caller has sent data again.
 	unanswered map[FlowKey]*flowEntry
@@ -289,10 +291,27 @@
 		}
 	}
 	c.unlist(entry)
+	ends := target.State == directory.TargetEnded && entry.target.State != directory.TargetEnded
 	entry.target = target
 	if target.State == directory.TargetReady {
 		c.services[target.Service] = append(c.services[target.Service], entry)
 	}
+	if ends {
+		c.rememberEnded(entry)
+	}
+}
+
+// rememberEnded remembers a target that has ended, and forgets the oldest ones as the
+// members do: a node that runs for months would else hold each target that ever was.
+func (c *Core) rememberEnded(entry *targetEntry) {
+	c.ended = append(c.ended, entry)
+	for len(c.ended) > directory.EndedLimit(len(c.targets)-len(c.ended)) {
+		oldest := c.ended[0]
+		c.ended[0] = nil
+		c.ended = c.ended[1:]
+		delete(c.targets, oldest.target.Token)
+		c.forgetFlowsOf(oldest)
+	}
 }
 
 // unlist takes a target out of the list of those that take new flows.
