--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -52,11 +52,17 @@
 
 	host       Host
 	compactLen int
+	// snapshotSize is the size in bytes of the last snapshot, and appliedSize that of
+	// the entries applied since.
+	snapshotSize int
+	appliedSize  int
 }
 
 // New returns a driver that compacts the log when so many entries were applied
-// since the last snapshot. Entries that are not applied yet do not count: they
-// stay, however often the log is compacted.
+// since the last snapshot, and they are as large as it. So what is written in snapshots
+// stays below twice the log however large the state is; with the number alone a state of
+// 10,000 targets cost eight times the log. Entries that are not applied yet do not
+// count: they stay, however often the log is compacted.
 func New(host Host, storage Storage, compactLen int) *Driver {
 	return &Driver{host: host, Storage: storage, compactLen: compactLen}
 }
@@ -97,6 +103,12 @@
 		return
 	}
 	d.Applied = snapshot.Index
+	d.noteSnapshot(snapshot)
+}
+
+func (d *Driver) noteSnapshot(snapshot raft.Snapshot) {
+	d.snapshotSize = len(snapshot.Data)
+	d.appliedSize = 0
 }
 
 func (d *Driver) apply(now kernel.Instant, entries []raft.Entry) {
@@ -105,6 +117,7 @@
 			return
 		}
 		d.Applied = entry.Index
+		d.appliedSize += len(entry.Data)
 		if err := d.host.Apply(now, entry); err != nil {
 			d.Stop(steperror.Wrap("replica.apply", "", err))
 		}
@@ -122,7 +135,7 @@
 }
 
 func (d *Driver) compact() {
-	if d.Failed != nil || d.Applied < d.Node.SnapshotIndex()+uint64(d.compactLen) {
+	if d.Failed != nil || !d.isCompactionDue() {
 		return
 	}
 	data, err := d.host.Encode()
@@ -135,5 +148,10 @@
 		d.Stop(err)
 		return
 	}
+	d.noteSnapshot(snapshot)
 	d.host.Compacted(snapshot)
 }
+
+func (d *Driver) isCompactionDue() bool {
+	return d.Applied >= d.Node.SnapshotIndex()+uint64(d.compactLen) && d.appliedSize >= d.snapshotSize
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -20,6 +20,8 @@
 	roles      int
 	stopped    error
 	applyError error
+	// state is what a snapshot holds.
+	state []byte
 }
 
 var _ Host = (*countingHost)(nil)
@@ -31,7 +33,7 @@
 	return h.applyError
 }
 func (h *countingHost) RoleChanged(kernel.Instant, raft.Role) { h.roles++ }
-func (h *countingHost) Encode() ([]byte, error)               { return nil, nil }
+func (h *countingHost) Encode() ([]byte, error)               { return h.state, nil }
 func (h *countingHost) Compacted(raft.Snapshot)               { h.compacted++ }
 func (h *countingHost) Stopped(err error)                     { h.stopped = err }
 
@@ -84,6 +86,19 @@
 	assert.Len(t, host.applied, 3*compactLen+1)
 }
 
+// A snapshot holds the whole state: written each so many entries, it costs more the
+// larger the state is, and all that it holds a change. Twice the log is the bound.
+func TestSnapshotsCostNoMoreThanTheLogHoweverLargeTheState(t *testing.T) {
+	for _, entries := range []int{compactLen, 10 * compactLen, 100 * compactLen} {
+		driver, host, _ := leading(t, 1)
+		host.state = make([]byte, entries)
+		propose(t, driver, compactLen)
+		require.Equal(t, 1, host.compacted, "the first one; its size is not known before")
+		propose(t, driver, 5*entries)
+		assert.Equal(t, 6, host.compacted, "one for as many bytes of entries as it holds")
+	}
+}
+
 // Entries that wait for a quorum stay in the log whatever is compacted. Counting
 // them made a member save a snapshot at every flush (bench run 1a0d676f).
 func TestEntriesThatWaitDoNotCompactTheLog(t *testing.T) {
