A fleet of cold targets is noted in linear time

Cause: beyond 256 cold targets each registration looked through all of them: with 10,000 that register at once, all cold, 50 million looks.

--- a/internal/registry/warmup.go
+++ b/internal/registry/warmup.go
@@ -55,9 +55,9 @@
 	// maxZoneStewards is the same for the targets of a zone that is taken back. They
 	// are told once for each service.
 	maxZoneStewards = 16
-	// maxWarmups is the number of targets from which on those that are warm by now
+	// leastWarmups is the number of targets from which on those that are warm by now
 	// are forgotten.
-	maxWarmups = 256
+	leastWarmups = 256
 )
 
 // warmupTable knows until when targets are cold, on this member's clock. Those of
@@ -65,12 +65,16 @@
 type warmupTable struct {
 	readAt kernel.Instant
 	since  map[directory.Token]kernel.Instant
+	// sweepAt is the number of targets at which the warm ones are forgotten next.
+	sweepAt int
 	// zones holds when zones were taken back.
 	zones map[string]kernel.Instant
 }
 
 func newWarmupTable(now kernel.Instant) warmupTable {
-	return warmupTable{readAt: now, since: map[directory.Token]kernel.Instant{}, zones: map[string]kernel.Instant{}}
+	return warmupTable{
+		readAt: now, since: map[directory.Token]kernel.Instant{}, sweepAt: leastWarmups, zones: map[string]kernel.Instant{},
+	}
 }
 
 // note enters a target that has just registered.
@@ -78,8 +82,11 @@
 	if target.Warmup == nil {
 		return
 	}
-	if len(w.since) >= maxWarmups {
+	if len(w.since) >= w.sweepAt {
 		maps.DeleteFunc(w.since, func(_ directory.Token, at kernel.Instant) bool { return now.Sub(at) > target.Warmup.Left })
+		// Twice what is left: where a whole fleet is cold at once, looking at all with
+		// each of them grew with the square of the fleet.
+		w.sweepAt = max(leastWarmups, 2*len(w.since))
 	}
 	w.since[target.Token] = now
 }
--- a/internal/registry/warmup_test.go
+++ b/internal/registry/warmup_test.go
@@ -115,13 +115,31 @@
 func TestTheTableOfColdTargetsForgetsWarmOnes(t *testing.T) {
 	now := kernel.Instant(time.Minute)
 	table := newWarmupTable(now)
-	for token := range directory.Token(10 * maxWarmups) {
+	for token := range directory.Token(10 * leastWarmups) {
 		now = now.Add(10 * time.Millisecond)
 		table.note(now, directory.Target{Token: token, Warmup: &directory.Warmup{Left: time.Second}})
-		require.LessOrEqual(t, len(table.since), maxWarmups+1)
+		require.LessOrEqual(t, len(table.since), leastWarmups+1)
 	}
 }
 
+// All targets of a fleet start cold at once: the table is looked through a few times, not
+// once for each of them.
+func TestAFleetOfColdTargetsIsNotedInLinearTime(t *testing.T) {
+	const targets = 20_000
+	now := kernel.Instant(time.Minute)
+	table := newWarmupTable(now)
+	sweeps := 0
+	for token := range directory.Token(targets) {
+		before := table.sweepAt
+		table.note(now, directory.Target{Token: token, Warmup: &directory.Warmup{Left: time.Minute}})
+		if table.sweepAt != before {
+			sweeps++
+		}
+	}
+	assert.Len(t, table.since, targets)
+	assert.LessOrEqual(t, sweeps, 7, "each at twice the number of the one before")
+}
+
 // Simulated fleets, seeds 136 and 153: a member that had just started with an empty
 // state registered cold targets without the budget that it did not know of yet, and
 // all nodes sent them flows.
