Suspicion and claims of addresses follow the interval of heartbeats

Cause: two constants fit heartbeats 1.2 s apart. Where they come each 3 s targets were suspected after 3.2 s, 0.2 s after their next one was due, so that some of the living ones were suspected at any moment; and a late first heartbeat of a process that had crashed could end the living holder of its address, which was mostly heard longer ago than 1.5 s.

Change: the interval is read from the settings; suspicion begins a tenth of it and 0.3 s after it, and not before 3.2 s as until now. A claim of a process that started before the holder is refused while the holder was heard within that time.

--- a/internal/registry/replaced.go
+++ b/internal/registry/replaced.go
@@ -34,8 +34,13 @@
 	if !held || holder.State > directory.TargetDraining || holder.ID == command.Target.ID {
 		return false
 	}
+	window := holderHeardFor
+	if command.Target.Born > 0 && command.Target.Born < holder.Born {
+		// The process started before the holder did: it has most likely ended.
+		window = max(window, c.settings.SuspectAfter)
+	}
 	seen, sighted := c.liveness.sightings[holder.Token]
-	taken := sighted && seen.heardAt > c.liveness.since && now.Sub(seen.heardAt) < holderHeardFor
+	taken := sighted && seen.heardAt > c.liveness.since && now.Sub(seen.heardAt) < window
 	if taken {
 		c.log(eventlog.AddressTaken, "target", command.Target.ID, "address", command.Target.Address,
 			"holder", holder.ID, "heartbeat_age", now.Sub(seen.heardAt))
--- a/internal/registry/settings.go
+++ b/internal/registry/settings.go
@@ -44,9 +44,30 @@
 	SnapshotEntries int
 }
 
+const (
+	// suspectAfter is the least silence after which a target is suspected: a heartbeat
+	// whose call failed after a second is still under way at another member.
+	suspectAfter = 3200 * time.Millisecond
+	// heartbeatLateness is how much later than usual heartbeats of living targets come at
+	// the leader, beside a tenth of the interval: their way and that of members' reports.
+	heartbeatLateness = 300 * time.Millisecond
+)
+
+// CoreOption changes the settings of a member in production.
+type CoreOption func(s *CoreSettings)
+
+// WithHeartbeats sets the usual time between two heartbeats of a target. Where it is long
+// targets are suspected later: after 3.2 s with 3 s between heartbeats, a part of all
+// living targets was suspected at any moment.
+func WithHeartbeats(interval time.Duration) CoreOption {
+	return func(s *CoreSettings) {
+		s.SuspectAfter = max(suspectAfter, interval+interval/10+heartbeatLateness)
+	}
+}
+
 // DefaultCoreSettings returns the settings of a member in production.
-func DefaultCoreSettings() CoreSettings {
-	return CoreSettings{
+func DefaultCoreSettings(opts ...CoreOption) CoreSettings {
+	settings := CoreSettings{
 		Raft: raft.Settings{
 			ElectionTimeout: 250 * time.Millisecond,
 			Heartbeat:       80 * time.Millisecond,
@@ -59,8 +80,12 @@
 		ReplaceAfter:    2500 * time.Millisecond,
 		RequestTimeout:  900 * time.Millisecond,
 		CurrentFor:      800 * time.Millisecond,
-		SuspectAfter:    3200 * time.Millisecond,
+		SuspectAfter:    suspectAfter,
 		LostAfter:       600 * time.Millisecond,
 		SnapshotEntries: 1024,
 	}
+	for _, opt := range opts {
+		opt(&settings)
+	}
+	return settings
 }
--- a/internal/registry/start_test.go
+++ b/internal/registry/start_test.go
@@ -102,6 +102,38 @@
 		"its own address is free: it has ended itself")
 }
 
+// Where heartbeats are 3 s apart a living holder was mostly heard longer ago than the
+// usual 1.5 s. A claim of a process that started before it is a late word all the same.
+func TestAnEarlierProcessTakesNoAddressFromAHolderHeardLately(t *testing.T) {
+	for _, test := range []struct {
+		born  uint64
+		after time.Duration
+		want  directory.Code
+	}{
+		{bornFirst, 2500 * time.Millisecond, directory.CodeTaken},
+		{bornFirst, 4 * time.Second, directory.CodeDone},
+		{bornLater + 1, 2500 * time.Millisecond, directory.CodeDone},
+		{0, 2500 * time.Millisecond, directory.CodeDone},
+	} {
+		c := newCluster(t, 1, 3)
+		leader := c.waitForLeader()
+		require.NoError(t, c.submit(leader, starting(bornLater, "10.1.1.1:1", directory.TargetReady)).Err)
+		c.run(test.after)
+		claim := put("i-2", "10.1.1.1:1", directory.TargetReady)
+		claim.Target.Born = test.born
+		assert.Equal(t, test.want, c.knock(leader, claim).Result.Code, "born %d, after %v", test.born, test.after)
+	}
+}
+
+func TestTargetsWithRareHeartbeatsAreSuspectedLater(t *testing.T) {
+	for interval, want := range map[time.Duration]time.Duration{
+		0: 3200 * time.Millisecond, 1200 * time.Millisecond: 3200 * time.Millisecond,
+		3 * time.Second: 3600 * time.Millisecond, 10 * time.Second: 11300 * time.Millisecond,
+	} {
+		assert.Equal(t, want, DefaultCoreSettings(WithHeartbeats(interval)).SuspectAfter, interval)
+	}
+}
+
 // What names a service that no configuration has is not registered, and holds no
 // address; a target that is registered stays when its service goes.
 func TestAWordForAnUnknownServiceRegistersNothing(t *testing.T) {
