Oracle of exchanges: a caller that has reset its flow waits no more

Traced: in flow 1 the caller sends its request at 36 ms, resets the flow at 40 ms, and a copy of the request comes at 42 ms, the last packet that this node sees. The oracle took the caller for waiting, since the last packet is no end, and expected one unanswered exchange; the core counts none for a caller that breaks off, as its table says.

Change: the oracle looks at all that the node has seen, not at the last packet. Nothing else of the check is narrowed: a view that holds no end expects the same as before.

--- a/internal/steer/exchange_oracle_test.go
+++ b/internal/steer/exchange_oracle_test.go
@@ -193,11 +193,11 @@
 	})
 }
 
-// falls reports whether the last thing that a node sees of a flow leaves its caller
-// waiting, not ended.
+// falls reports whether what a node sees of a flow leaves its caller waiting, not ended.
+// Copies of its packets may come after its end: a caller that has reset its flow waits no
+// more, whatever comes last.
 func (f trueFlow) falls(seen []sight) bool {
-	last := seen[len(seen)-1].packet
-	return !last.Closing && !last.Reset
+	return !slices.ContainsFunc(seen, func(sight sight) bool { return sight.packet.Closing || sight.packet.Reset })
 }
 
 // signs returns what a node sees of an exchange.
