beamdoor-node spread: how long changes took to reach all nodes, from the logs

Cause: the time in which a version or a drain is in force everywhere was worked out by hand from the logs of a run.

Change: a table from the lines that members and nodes write anyway: first node, half, 99 of 100, last, for each version and each stage of targets.

--- a/cmd/beamdoor-node/main.go
+++ b/cmd/beamdoor-node/main.go
@@ -66,6 +66,7 @@
 		checkCommand(&file),
 		versionCommand(),
 		explainCommand(),
+		spreadCommand(),
 		evacuationCommand(func() ([]string, error) { return seeds(file) }),
 		targetCommand(func() ([]string, error) { return seeds(file) }),
 	)
