--- /dev/null
+++ b/internal/registry/cluster_test.go
@@ -0,0 +1,306 @@
+package registry
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/eventlog"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+	"github.com/beamdoor/beamdoor/internal/lab/disk"
+	"github.com/beamdoor/beamdoor/internal/raft"
+	"github.com/beamdoor/beamdoor/internal/wal"
+	"github.com/beamdoor/beamdoor/internal/wire"
+)
+
+const (
+	stepTime  = 10 * time.Millisecond
+	frameTime = 2 * time.Millisecond
+)
+
+// machine is one simulated member.
+type machine struct {
+	address string
+	disk    *disk.Disk
+	log     *wal.Log
+	core    *Core
+	up      bool
+	// bootstrap is the setting of the same name at the next start.
+	bootstrap bool
+	resets    int
+	outcomes  map[Ticket]Outcome
+	updates   []directory.Update
+	// remembered are the targets that it told nodes from its disk.
+	remembered []directory.Target
+	alive      Alive
+}
+
+// flight is a frame under way.
+type flight struct {
+	at    kernel.Instant
+	order int
+	from  string
+	to    string
+	frame wire.Frame
+}
+
+// cluster runs members on a virtual clock over a network that can be cut.
+type cluster struct {
+	*testing.T
+	random   *rand.Rand
+	now      kernel.Instant
+	machines map[string]*machine
+	seeds    []string
+	flights  []flight
+	order    int
+	cut      func(from, to string) bool
+	// wanted is the number of voters that members keep, and lostZones that of the
+	// zones whose loss they bear.
+	wanted, lostZones int
+	// zoneOf returns the zone of a member.
+	zoneOf func(name string) string
+	// events counts the events of all members.
+	events map[eventlog.ID]int
+	// sampled counts those of which only some are written.
+	sampled map[eventlog.ID]int
+	// batches lets members handle each frame as a batch of its own, as processes do.
+	batches bool
+	// trace writes the events of all members to the test's log.
+	trace bool
+}
+
+func newCluster(t *testing.T, seed uint64, members int) *cluster {
+	c := &cluster{
+		T:        t,
+		random:   rand.New(rand.NewPCG(seed, 1)),
+		now:      kernel.Instant(time.Second),
+		machines: map[string]*machine{},
+		cut:      func(string, string) bool { return false },
+		wanted:   3,
+		zoneOf:   func(string) string { return "zone" },
+		events:   map[eventlog.ID]int{},
+		sampled:  map[eventlog.ID]int{},
+	}
+	for number := range members {
+		c.seeds = append(c.seeds, address(number+1))
+	}
+	for _, name := range c.seeds {
+		c.add(name, true)
+	}
+	return c
+}
+
+func address(number int) string { return fmt.Sprintf("10.0.0.%d:7000", number) }
+
+// add starts a member with an empty disk.
+func (c *cluster) add(name string, bootstrap bool) *machine {
+	m := &machine{address: name, disk: disk.New(c.random), bootstrap: bootstrap}
+	c.machines[name] = m
+	c.start(name)
+	return m
+}
+
+func (c *cluster) start(name string) {
+	m := c.machines[name]
+	identity, err := wal.LoadIdentity(m.disk, c.random.Uint64)
+	require.NoError(c, err)
+	log, restored, _, err := wal.Open(m.disk)
+	require.NoError(c, err)
+	settings := DefaultCoreSettings()
+	settings.Address = name
+	settings.Zone = c.zoneOf(name)
+	settings.Seeds = c.seeds
+	settings.Bootstrap = m.bootstrap
+	settings.Voters = c.wanted
+	settings.LostZones = c.lostZones
+	settings.Raft.Identity = identity
+	settings.Raft.Random = c.random
+	m.core, err = NewCore(c.now, settings, log, restored)
+	require.NoError(c, err)
+	m.log = log
+	m.up = true
+	m.bootstrap = false
+	m.outcomes = map[Ticket]Outcome{}
+}
+
+// kill ends a member's process; its disk loses what was not synced when
+// power is set.
+func (c *cluster) kill(name string, power bool) {
+	m := c.machines[name]
+	m.up = false
+	if power {
+		m.disk.Crash()
+	}
+}
+
+func (c *cluster) wipe(name string) {
+	c.machines[name].up = false
+	c.machines[name].disk.Wipe()
+}
+
+// take carries out what a core wants done.
+func (c *cluster) take(m *machine, output Output) {
+	for _, message := range output.Members {
+		c.order++
+		delay := frameTime + time.Duration(c.random.Int64N(int64(frameTime)))
+		c.flights = append(c.flights, flight{at: c.now.Add(delay), order: c.order, from: m.address, to: message.To, frame: message.Frame})
+	}
+	for _, event := range output.Events {
+		c.events[event.Event]++
+		if event.Sampled {
+			c.sampled[event.Event]++
+		}
+	}
+	if c.trace {
+		for _, event := range output.Events {
+			if event.Event != eventlog.VersionInForce && event.Event != eventlog.RequestGivenUp {
+				c.Logf("%v %s %d %v", c.now, m.address, event.Event, event.Fields)
+			}
+		}
+	}
+	for _, outcome := range output.Outcomes {
+		m.outcomes[outcome.Ticket] = outcome
+	}
+	for _, message := range output.Nodes {
+		c.takeNode(m, message.Frame)
+	}
+	if output.Reset {
+		m.resets++
+		require.NoError(c, wal.Clear(m.disk))
+		c.start(m.address)
+	}
+}
+
+func (c *cluster) takeNode(m *machine, frame wire.Frame) {
+	switch frame.Kind {
+	case wire.FrameUpdate:
+		update, err := directory.DecodeUpdate(frame.Payload)
+		require.NoError(c, err)
+		m.updates = append(m.updates, update)
+	case wire.FrameRemembered:
+		targets, err := directory.DecodeTargets(frame.Payload)
+		require.NoError(c, err)
+		m.remembered = append(m.remembered, targets...)
+	case wire.FrameAlive:
+		alive, err := DecodeAlive(frame.Payload)
+		require.NoError(c, err)
+		m.alive = alive
+	}
+}
+
+func (c *cluster) names() []string {
+	var names []string
+	for name := range c.machines {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// run lets time pass.
+func (c *cluster) run(duration time.Duration) {
+	end := c.now.Add(duration)
+	for c.now < end {
+		c.now = c.now.Add(stepTime)
+		c.deliver()
+		for _, name := range c.names() {
+			if m := c.machines[name]; m.up {
+				c.take(m, m.core.Tick(c.now))
+			}
+		}
+	}
+}
+
+func (c *cluster) deliver() {
+	slices.SortStableFunc(c.flights, func(a, b flight) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.order, b.order))
+	})
+	for len(c.flights) > 0 && c.flights[0].at <= c.now {
+		next := c.flights[0]
+		c.flights = c.flights[1:]
+		m, known := c.machines[next.to]
+		if !known || !m.up || c.cut(next.from, next.to) {
+			continue
+		}
+		c.hand(m, next.frame)
+	}
+}
+
+// hand gives a frame to a member.
+func (c *cluster) hand(m *machine, frame wire.Frame) {
+	if !c.batches {
+		c.take(m, m.core.HandleFrame(c.now, frame))
+		return
+	}
+	m.core.BeginBatch()
+	c.take(m, m.core.HandleFrame(c.now, frame))
+	c.take(m, m.core.EndBatch(c.now))
+}
+
+// runUntil lets time pass until a condition holds.
+func (c *cluster) runUntil(limit time.Duration, what string, done func() bool) {
+	end := c.now.Add(limit)
+	for !done() {
+		require.Less(c, c.now, end, "not within %s: %s", limit, what)
+		c.run(stepTime)
+	}
+}
+
+func (c *cluster) leader() *machine {
+	for _, name := range c.names() {
+		m := c.machines[name]
+		if m.up && m.core.IsLeader() && m.core.Raft().HasLease(c.now) {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *cluster) waitForLeader() *machine {
+	c.runUntil(10*time.Second, "a leader with a lease", func() bool { return c.leader() != nil })
+	return c.leader()
+}
+
+// submit hands a command to a member and waits for the outcome.
+func (c *cluster) submit(m *machine, command directory.Command) Outcome {
+	ticket, output := m.core.Submit(c.now, command)
+	c.take(m, output)
+	c.runUntil(3*time.Second, "an outcome", func() bool { _, done := m.outcomes[ticket]; return done })
+	return m.outcomes[ticket]
+}
+
+// publish submits a version as the process does.
+func (c *cluster) publish(m *machine, version uint64) Outcome {
+	next := directory.Configuration{Version: version, Routes: []directory.Route{{Name: fmt.Sprint("r", version)}}}
+	edit := directory.Difference(m.core.State().Configuration(), next)
+	return c.submit(m, directory.Command{Kind: directory.CommandPublish, Edit: edit})
+}
+
+// read returns the version that a linearizable read at a member sees.
+func (c *cluster) read(m *machine) (uint64, error) {
+	ticket, output := m.core.Read(c.now)
+	c.take(m, output)
+	c.runUntil(3*time.Second, "an outcome", func() bool { _, done := m.outcomes[ticket]; return done })
+	return m.core.State().Configuration().Version, m.outcomes[ticket].Err
+}
+
+func (c *cluster) voters() []raft.MemberID {
+	leader := c.leader()
+	if leader == nil {
+		return nil
+	}
+	return leader.core.Raft().Membership().Voters
+}
+
+func put(id, at string, state directory.TargetState) directory.Command {
+	return directory.Command{Kind: directory.CommandPutTarget, Target: directory.Target{
+		ID: id, Service: "booking", Address: netip.MustParseAddrPort(at), State: state,
+	}}
+}
