Nodes ask a target that leaves a caller waiting, and reset their own flows there

Cause: a silent target is held for lost once two nodes have seen it within half a second. A caller whose request the target had taken sends nothing again, so that unanswered copies find only some.

Change: a node whose caller waits (data sent again, or an exchange that stays quiet where answers are acknowledged or where it can't tell yet) opens a connection to the target. After two that are not answered, 0.3 s each, with no answer of the target between, it resets its flows there and passes the target over for 2 s. It acts on its own flows alone, and not while its link is choked, while packets get lost at living targets, or when it stood still.

Tests of the load, of slow, leaving and answered targets, and of a node at fault.

--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -53,6 +53,7 @@
 		heard = p.beats.TakeHeard()
 	}
 	p.subscriber.report(p.core.Report(now, reportInterval), heard)
+	p.prober.ask(p.core.Probes(now))
 	if p.ticks%reportsPerSweep == 0 {
 		p.core.Tick(now)
 		p.metrics.flows.Set(float64(p.core.Flows()))
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -37,7 +37,9 @@
 	linkReductions prometheus.Counter
 	linkRefused    prometheus.Counter
 	// linkWaits are by urgency, in seconds.
-	linkWaits    []prometheus.Observer
+	linkWaits []prometheus.Observer
+	// probes counts probes of targets by their outcome.
+	probes       []prometheus.Counter
 	beatsTaken   prometheus.Counter
 	beatsLeft    prometheus.Counter
 	flows        prometheus.Gauge
@@ -94,6 +96,10 @@
 	for _, reason := range steer.Reasons() {
 		m.decisions = append(m.decisions, decisions.WithLabelValues(reason.String()))
 	}
+	probes := set.CounterVec("probes_total", "connections opened to ask whether a target lives, by outcome", "outcome")
+	for _, outcome := range steer.ProbeOutcomes() {
+		m.probes = append(m.probes, probes.WithLabelValues(outcome.String()))
+	}
 	m.addLink(set)
 	return m
 }
--- a/internal/edge/process.go
+++ b/internal/edge/process.go
@@ -78,6 +78,7 @@
 	buffers    sync.Pool
 	sender     *sender
 	subscriber *subscriber
+	prober     *prober
 	metrics    *metrics
 	beats      *heartbeat.Cache
 	ready      atomic.Bool
@@ -121,6 +122,7 @@
 		waiting:  newWaitlist(),
 	}
 	process.subscriber = newSubscriber(process)
+	process.prober = newProber(process)
 	process.sender = newSender(process, settings)
 	return process
 }
@@ -172,6 +174,7 @@
 		p.spawn(p.takeAnnouncements)
 	}
 	p.spawn(p.subscriber.run)
+	p.prober.begin()
 	<-ctx.Done()
 	p.leaving.Store(true)
 	p.logger.Event(eventlog.StopRequested, "leave_time", p.settings.LeaveTime)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -109,6 +109,7 @@
 	FlowPlacedAgain    ID = 2121
 	FlowReset          ID = 2122
 	PacketDropped      ID = 2123
+	ProbeNotMade       ID = 2124
 	LinesLeftOut       ID = 2130
 	LinkCongested      ID = 2140
 	LinkRelieved       ID = 2141
@@ -214,6 +215,7 @@
 	{FlowPlacedAgain, "flow_placed_again", "copy of an opening packet sent to another target"},
 	{FlowReset, "flow_reset", "flow reset by the node"},
 	{PacketDropped, "packet_dropped", "packet dropped"},
+	{ProbeNotMade, "probe_not_made", "no connection could be opened to ask whether a target lives"},
 	{LinesLeftOut, "lines_left_out", "log lines left out to keep the volume bounded"},
 	{LinkCongested, "link_congested", "datagrams wait long for the node's own link"},
 	{LinkRelieved, "link_relieved", "datagrams no longer wait long for the node's own link"},
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -81,6 +81,7 @@
 	// failedAt is when an exchange was last found unanswered, servedAt when one was last
 	// answered as usual.
 	failedAt, servedAt kernel.Instant
+	reach              reach
 }
 
 // flowEntry is what this node remembers of a flow that it has placed. It is
@@ -115,7 +116,7 @@
 	services      map[string][]*targetEntry
 	// ended are the targets that have ended, in the order of their ends.
 	ended []*targetEntry
-	flows         map[FlowKey]*flowEntry
+	flows map[FlowKey]*flowEntry
 	// unanswered are the flows whose caller has sent data again.
 	unanswered map[FlowKey]*flowEntry
 	// waiting are the flows whose callers wait for an answer.
@@ -128,6 +129,10 @@
 	// missing those that have left opening packets unanswered.
 	answering []*targetEntry
 	missing   map[*targetEntry]bool
+	// wanted are the targets for which callers wait, and probing is the number of probes
+	// under way.
+	wanted    map[*targetEntry]struct{}
+	probing   int
 	openings  openingWatch
 	witness   witness
 	exchanges exchangeWatch
@@ -162,6 +167,7 @@
 		unanswered: map[FlowKey]*flowEntry{},
 		waiting:    map[*flowEntry]struct{}{},
 		missing:    map[*targetEntry]bool{},
+		wanted:     map[*targetEntry]struct{}{},
 		openings:   newOpeningWatch(),
 		habits:     map[netip.AddrPort]*routeHabit{},
 
--- a/internal/steer/exchange.go
+++ b/internal/steer/exchange.go
@@ -241,6 +241,9 @@
 		return left
 	}
 	x.stage = exchangeQuiet
+	if x.habit.mayTellByQuiet() {
+		c.wantProbe(now, x.target)
+	}
 	heardOthers := c.exchanges.answered.Sub(x.newest) > limit/2
 	if !heardOthers || c.isDoubtfulWitness(now) {
 		x.void = true
--- a/internal/steer/habit.go
+++ b/internal/steer/habit.go
@@ -66,6 +66,11 @@
 // isQuietTelling reports whether a flow without progress speaks against its target.
 func (h *routeHabit) isQuietTelling() bool { return h.answered >= habitSamples && h.quiet <= mostQuiet }
 
+// mayTellByQuiet reports whether a flow without progress is worth a question to its
+// target: not on routes where it was found to say nothing. In a large fleet a node has
+// seen too little of a route for long.
+func (h *routeHabit) mayTellByQuiet() bool { return h.answered < habitSamples || h.isQuietTelling() }
+
 // quietTime returns the time without progress after which an exchange is quiet.
 func (h *routeHabit) quietTime() time.Duration {
 	return min(max(quietFactor*h.late, shortestQuiet), longestQuiet)
--- a/internal/steer/packet.go
+++ b/internal/steer/packet.go
@@ -80,6 +80,9 @@
 	// ReasonLost is a packet of a flow whose target the control members hold
 	// for lost.
 	ReasonLost
+	// ReasonUnreachable is a flow whose caller waits for a target that this node cannot
+	// reach.
+	ReasonUnreachable
 	// ReasonUnknownToken is a packet whose token names no known target.
 	ReasonUnknownToken
 	// ReasonNoToken is a packet of an open flow without a token.
@@ -104,7 +107,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"placed", "placed_again", "token", "no_route", "no_target", "evacuated", "cold", "ended", "lost",
-		"unknown_token", "no_token", "forged", "not_ready",
+		"unreachable", "unknown_token", "no_token", "forged", "not_ready",
 	}[r]
 }
 
--- a/internal/steer/place.go
+++ b/internal/steer/place.go
@@ -214,11 +214,11 @@
 }
 
 // isDoubtful reports whether there is evidence that a target does not answer:
-// nobody has heard its heartbeats, or it left an opening packet or data unanswered and
-// has not been seen to answer since.
+// nobody has heard its heartbeats, or it cannot be reached, or it left an opening packet
+// or data unanswered and has not been seen to answer since.
 func (c *Core) isDoubtful(now kernel.Instant, entry *targetEntry) bool {
 	missed := entry.missedAt > entry.answeredAt && now.Sub(entry.missedAt) < c.settings.DoubtFor
-	return missed || entry.refuses(now) || entry.fails(now) || entry.suspected || entry.lost
+	return missed || entry.reach.isUnreachable(now) || entry.refuses(now) || entry.fails(now) || entry.suspected || entry.lost
 }
 
 func contains(tokens []directory.Token, token directory.Token) bool {
--- /dev/null
+++ b/internal/steer/reach_test.go
@@ -0,0 +1,172 @@
+package steer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/directory"
+	"github.com/beamdoor/beamdoor/internal/kernel"
+)
+
+// tick is the time between two looks of a node at its flows.
+const tick = 100 * time.Millisecond
+
+// waitingCaller has a flow open to the first of two targets and sends a request that is
+// not answered, with the pauses of callers: 0.2 s, 0.4 s and so on.
+type waitingCaller struct {
+	*bench
+	target directory.Target
+	packet Packet
+	now    kernel.Instant
+	resets []Packet
+	// outcome is that of each probe, which takes as long as a target has.
+	outcome ProbeOutcome
+	probes  int
+	due     map[kernel.Instant]directory.Token
+	// silent is set when the target has taken the request, so that nothing is sent again.
+	silent bool
+}
+
+func newWaitingCaller(t *testing.T, outcome ProbeOutcome) *waitingCaller {
+	b := booking(t)
+	target := b.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetReady)
+	require.Equal(t, ActionForward, b.core.Decide(start, opening(9, 0)).Action)
+	b.target(start, "i-2", "booking", "north", "10.0.0.2:1", directory.TargetReady)
+	w := &waitingCaller{bench: b, target: target, now: start, outcome: outcome, due: map[kernel.Instant]directory.Token{}}
+	w.packet = following(9, target.Token, 5)
+	b.core.Report(start, tick)
+	b.core.Decide(start, w.packet)
+	w.packet.Size = 100
+	return w
+}
+
+// runUntil plays until a time after the request, and returns when the flow was reset.
+func (w *waitingCaller) runUntil(end time.Duration) (reset time.Duration) {
+	sends := map[time.Duration]bool{0: true}
+	if !w.silent {
+		sends = map[time.Duration]bool{0: true, 2 * tick: true, 6 * tick: true, 14 * tick: true, 30 * tick: true}
+	}
+	for after := time.Duration(0); after <= end; after += tick {
+		w.now = start.Add(after)
+		if sends[after] {
+			require.Equal(w, ActionForward, w.core.Decide(w.now, w.packet).Action)
+		}
+		w.core.Report(w.now, tick)
+		if token, ends := w.due[w.now]; ends {
+			if w.resets = w.core.NoteProbe(w.now, token, w.outcome); len(w.resets) > 0 {
+				return after
+			}
+		}
+		for _, target := range w.core.Probes(w.now) {
+			require.Equal(w, w.target.Token, target.Token)
+			w.probes++
+			w.due[w.now.Add(3*tick)] = target.Token
+		}
+	}
+	return 0
+}
+
+// The load: a fleet so large that no second node sees this target. Without a verdict of
+// the members a caller with 3 s learns in time for another try that its target is dead.
+func TestACallerOfATargetThatCannotBeReachedIsTold(t *testing.T) {
+	w := newWaitingCaller(t, ProbeFailed)
+	reset := w.runUntil(3 * time.Second)
+	assert.Positive(t, reset)
+	assert.LessOrEqual(t, reset, 1100*time.Millisecond)
+	require.Len(t, w.resets, 1)
+	assert.Equal(t, w.packet.Flow, w.resets[0].Flow)
+	for port := range uint16(20) {
+		decision := w.core.Decide(w.now, opening(100+port, 0))
+		assert.Equal(t, "i-2", decision.Target.ID, "new flows pass it over")
+	}
+}
+
+// The target took the request and died: its caller waits and sends nothing.
+func TestACallerThatSendsNothingAgainIsToldToo(t *testing.T) {
+	w := newWaitingCaller(t, ProbeFailed)
+	w.silent = true
+	reset := w.runUntil(3 * time.Second)
+	assert.Positive(t, reset)
+	assert.LessOrEqual(t, reset, 1200*time.Millisecond)
+	assert.Len(t, w.resets, 1)
+}
+
+// On a route whose callers do not acknowledge their answers quiet says nothing.
+func TestQuietFlowsOfARouteWithoutAcknowledgementsCostNoProbe(t *testing.T) {
+	w := newWaitingCaller(t, ProbeFailed)
+	w.silent = true
+	*w.core.habitOf(w.packet.Flow) = routeHabit{answered: habitSamples, quiet: 1}
+	assert.Zero(t, w.runUntil(3*time.Second))
+	assert.Zero(t, w.probes)
+}
+
+// One that leaves may take no connections while it still serves its flows.
+func TestATargetThatLeavesIsNotProbed(t *testing.T) {
+	w := newWaitingCaller(t, ProbeFailed)
+	w.bench.target(start, "i-1", "booking", "north", "10.0.0.1:1", directory.TargetDraining)
+	assert.Zero(t, w.runUntil(3*time.Second))
+	assert.Zero(t, w.probes)
+}
+
+// A target that lives and is slow keeps its flow however long the caller waits.
+func TestASlowTargetThatIsReachedKeepsItsFlows(t *testing.T) {
+	w := newWaitingCaller(t, ProbeReached)
+	assert.Zero(t, w.runUntil(4*time.Second))
+	assert.LessOrEqual(t, w.probes, 2, "it is not asked again and again")
+	assert.Positive(t, w.probes)
+}
+
+func TestAProbeThatShowsNothingEndsNoFlow(t *testing.T) {
+	w := newWaitingCaller(t, ProbeUnknown)
+	assert.Zero(t, w.runUntil(4*time.Second))
+}
+
+// What shows that the node itself may be at fault keeps it from acting alone.
+func TestANodeThatMayBeAtFaultEndsNoFlow(t *testing.T) {
+	cases := map[string]func(c *Core, now kernel.Instant){
+		"its packets wait for its link":   func(c *Core, now kernel.Instant) { c.delayedUntil = now.Add(time.Minute) },
+		"it stood still":                  func(c *Core, now kernel.Instant) { c.mistakenUntil = now.Add(time.Minute) },
+		"packets get lost at living ones": func(c *Core, _ kernel.Instant) { c.witness = witness{answered: 50, recovered: 50} },
+		"the target has answered meanwhile": func(c *Core, now kernel.Instant) {
+			for _, entry := range c.targets {
+				c.noteAnswer(now, entry)
+			}
+		},
+	}
+	for name, trouble := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWaitingCaller(t, ProbeFailed)
+			w.runUntil(600 * time.Millisecond)
+			require.Equal(t, 1, w.probes)
+			trouble(w.core, w.now)
+			later := w.now.Add(time.Millisecond)
+			assert.Empty(t, w.core.NoteProbe(later, w.target.Token, ProbeFailed))
+			assert.Empty(t, w.core.NoteProbe(later, w.target.Token, ProbeFailed))
+			assert.Empty(t, w.core.Probes(later.Add(probeRest)))
+		})
+	}
+}
+
+// Hundreds of targets die at once under one node.
+func TestTheNumberOfProbesIsBounded(t *testing.T) {
+	b := booking(t)
+	b.core.Report(start, tick)
+	for number := range 100 {
+		target := b.target(start, fmt.Sprint("i-", number), "booking", "north", fmt.Sprintf("10.0.0.%d:1", number+1), directory.TargetReady)
+		packet := following(uint16(number+1), target.Token, 5)
+		b.core.Decide(start, packet)
+		packet.Size = 100
+		b.core.Decide(start, packet)
+		b.core.Decide(start.Add(2*tick), packet)
+	}
+	now := start.Add(3 * tick)
+	asked := b.core.Probes(now)
+	assert.Len(t, asked, probeLimit)
+	assert.Empty(t, b.core.Probes(now))
+	assert.Empty(t, b.core.NoteProbe(now, asked[0].Token, ProbeFailed))
+	assert.Len(t, b.core.Probes(now), 1)
+}
