SIGHUP is ignored until the runtime can catch it

Cause: a process that gets SIGHUP before the language's runtime has begun is ended by it (soak). The runtime takes milliseconds; package hangup is initialised after that.

--- /dev/null
+++ b/cmd/beamdoor-node/cgo_test.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/beamdoor/beamdoor/internal/hangup"
+)
+
+// SIGHUP is ignored until the language's runtime has begun; from then on it must be
+// caught all the same, or no change of the settings would be read.
+func TestAHangupIsCaughtThoughItIsIgnoredBeforeTheRuntime(t *testing.T) {
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	select {
+	case received := <-hangup.Signals:
+		assert.Equal(t, syscall.SIGHUP, received)
+	case <-time.After(5 * time.Second):
+		assert.Fail(t, "the signal was not received")
+	}
+}
