Links between members ask for echoes

Change: a link in use asks its peer for an echo each 0.4 s; when a peer that answered before leaves one unanswered for 1 s the link is opened anew. Peers of before answer none and are left alone. 10 bytes each way and interval on links in use.

--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -36,9 +36,17 @@
 // Notify is told when a link has opened (nil error) or broken.
 type Notify func(address string, err error)
 
+// Option changes a new set of links.
+type Option func(l *Links)
+
+// WithEchoes has links ask their peers for echoes, and opens them anew when these stay
+// away; see Echo.
+func WithEchoes() Option { return func(l *Links) { l.echoes = true } }
+
 // Links are the outgoing links of a process.
 type Links struct {
 	notify  Notify
+	echoes  bool
 	context context.Context
 	cancel  context.CancelFunc
 	mutex   sync.Mutex
@@ -48,8 +56,11 @@
 }
 
 // New returns a set of links without any link yet.
-func New(notify Notify) *Links {
+func New(notify Notify, opts ...Option) *Links {
 	l := &Links{notify: notify, links: map[string]*ring.Ring[wire.Frame]{}}
+	for _, opt := range opts {
+		opt(l)
+	}
 	l.context, l.cancel = context.WithCancel(context.Background())
 	return l
 }
@@ -89,6 +100,7 @@
 // run writes the frames of one link.
 func (l *Links) run(address string, queue *ring.Ring[wire.Frame]) {
 	var connection net.Conn
+	var watch *echoWatch
 	defer func() { closeIfOpen(connection) }()
 	var batch []wire.Frame
 	for {
@@ -97,14 +109,23 @@
 		if !open {
 			return
 		}
+		if connection != nil && watch.isSilent(time.Now()) {
+			l.notify(address, errSilent)
+			closeIfOpen(connection)
+			connection = nil
+		}
 		if connection == nil {
 			var late bool
 			connection, late = l.dial(address)
+			watch = l.watch(connection)
 			if late {
 				queue.Discard()
 				continue
 			}
 		}
+		if l.echoes && watch.ask(time.Now()) {
+			batch = append(batch, wire.Frame{Kind: wire.FrameEcho})
+		}
 		if err := writeFrames(connection, batch); err != nil {
 			l.notify(address, steperror.Wrap("peerlink.write", address, err))
 			closeIfOpen(connection)
@@ -113,6 +134,15 @@
 	}
 }
 
+// watch begins to watch a new connection, if there is one.
+func (l *Links) watch(connection net.Conn) *echoWatch {
+	watch := &echoWatch{}
+	if l.echoes && connection != nil {
+		go watch.read(connection)
+	}
+	return watch
+}
+
 // dial connects to an address and tells whether that took so long that what
 // has waited meanwhile is old. It returns nil when the links are closed.
 func (l *Links) dial(address string) (connection net.Conn, late bool) {
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -97,7 +97,7 @@
 		spread:   heartbeat.NewSpread(append([]heartbeat.SpreadOption{heartbeat.WithZone(settings.Core.Zone)}, settings.Spread...)...),
 		stopped:  make(chan struct{}),
 	}
-	process.links = peerlink.New(process.noteLink)
+	process.links = peerlink.New(process.noteLink, peerlink.WithEchoes())
 	process.announcer = newAnnouncer(process)
 	return process
 }
--- a/internal/registry/streams.go
+++ b/internal/registry/streams.go
@@ -42,6 +42,12 @@
 			p.serveOrder(connection, frame)
 			return
 		}
+		if frame.Kind == wire.FrameEcho {
+			if err := peerlink.Echo(connection); err != nil {
+				return
+			}
+			continue
+		}
 		p.inputs.Push(frameInput{frame: frame})
 	}
 }
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -61,6 +61,8 @@
 	// FrameAnnouncement tells a node, in a datagram, that a member is current and which
 	// members there are.
 	FrameAnnouncement
+	// FrameEcho asks a member for the same frame, and is its answer.
+	FrameEcho
 )
 
 var frameNames = [...]string{
@@ -69,6 +71,7 @@
 	FrameForward: "forward", FrameForwarded: "forwarded", FrameReadIndex: "read_index", FrameLiveness: "liveness",
 	FrameSubscribe: "subscribe", FrameUpdate: "update", FrameEvidence: "evidence", FrameAlive: "alive",
 	FrameRemembered: "remembered", FrameReferral: "referral", FrameOrder: "order", FrameOrderReply: "order_reply", FrameAnnouncement: "announcement",
+	FrameEcho: "echo",
 }
 
 // String returns the name of the kind, as metrics give it.
