--- a/internal/directory/start_test.go
+++ b/internal/directory/start_test.go
@@ -166,7 +166,6 @@
 	born    uint64
 	state   TargetState
 	address netip.AddrPort
-	token   Token
 }
 
 // TestStartsAgainstAnOracle plays words of targets that start again, in any order, with
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -101,11 +101,6 @@
 	return "", refusal
 }
 
-// outdated refuses the word of a start that a later one has replaced.
-func outdated(target directory.Target) error {
-	return directory.NewProblem("born", target.Born, "a later start of "+target.ID+" is registered")
-}
-
 // errTaken refuses a heartbeat; a process that lives sends the next one.
 var errTaken = steperror.New("registry.beat", "", "the address is that of a target that was heard lately")
 
--- a/internal/registry/warmup.go
+++ b/internal/registry/warmup.go
@@ -13,7 +13,6 @@
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/kernel"
-	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
 // Warmth is what is stated about the cold targets of a service.
@@ -151,35 +150,6 @@
 	return update
 }
 
-// errBehind refuses the registration of a cold target at a member that may not know
-// what the target bears.
-var errBehind = steperror.New("registry.register", "", "this member is not current and cannot tell what a cold target bears")
-
-// Holds reports whether what a target says of itself is registered already.
-func (c *Core) Holds(target directory.Target) bool {
-	known, registered := c.state.Target(target.ID)
-	return registered && known.Start() == target.Start() && known.State >= target.State
-}
-
-// Register hands the word of a target to the group: that it exists, or that it leaves.
-// One that registers while it is cold needs a member that is current.
-func (c *Core) Register(now kernel.Instant, target directory.Target) (Ticket, Output, error) {
-	if known, registered := c.state.Target(target.ID); registered && target.Start().IsBefore(known.Start()) {
-		return 0, Output{}, outdated(target)
-	}
-	if err := c.checkService(target); err != nil {
-		return 0, Output{}, err
-	}
-	if target.Warmup != nil {
-		if !c.IsCurrent(now) {
-			return 0, Output{}, errBehind
-		}
-		target.Warmup = c.warmupOf(target)
-	}
-	ticket, output := c.Submit(now, directory.Command{Kind: directory.CommandPutTarget, Target: target})
-	return ticket, output, nil
-}
-
 // warmupOf returns the warm-up of a target that is cold, with its budget and stewards.
 func (c *Core) warmupOf(target directory.Target) *directory.Warmup {
 	warmup := directory.Warmup{Left: target.Warmup.Left, Budget: c.budget(c.warmthOf(target.Service))}
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -57,13 +57,10 @@
 	ProbeReached
 	// ProbeFailed is a probe that was not answered in time.
 	ProbeFailed
-	probeOutcomes
 )
 
 // ProbeOutcomes returns all outcomes, for counters.
-func ProbeOutcomes() []ProbeOutcome {
-	return []ProbeOutcome{ProbeUnknown, ProbeReached, ProbeFailed}[:probeOutcomes]
-}
+func ProbeOutcomes() []ProbeOutcome { return []ProbeOutcome{ProbeUnknown, ProbeReached, ProbeFailed} }
 
 // String returns the outcome as a word for logs and counters.
 func (o ProbeOutcome) String() string { return [...]string{"unknown", "reached", "failed"}[o] }
