Fuzz of targets that start again while members fail

What: targets start again under their IDs, at free and taken addresses, drain and leave; words of all their starts come once more, late, to any member, while members are killed, wiped, cut off, replaced or lose their power together. In the end all members hold the same; what a target was told to hold of its newest start is held; no earlier start lives.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	bin/beamdoor-lab sim --scenario all --seeds $(SEEDS) --setup perth
 	BEAMDOOR_FLEET_SEEDS=200 go test ./internal/lab/fleetsim -run MixedFaults
 	BEAMDOOR_FAULT_SEEDS=1000 go test ./internal/registry -run RandomFaults
+	BEAMDOOR_START_SEEDS=500 go test ./internal/registry -run StartsUnderRandomFaults
 
 # Ratios within one run; absolute times depend on the machine.
 bench:
