--- a/internal/lab/soak/silence.go
+++ b/internal/lab/soak/silence.go
@@ -23,6 +23,18 @@
 	replacedAt time.Time
 }
 
+// Holds reports whether the proxy hands on what comes from an address.
+func (p *Proxy) Holds(caller net.Addr) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for connection := range p.open {
+		if connection.RemoteAddr().String() == caller.String() {
+			return true
+		}
+	}
+	return false
+}
+
 // SilenceOpen makes the open connections silent for good: a filter drops what reaches
 // the proxy's ends, so that nothing is handed on or acknowledged, and no end sees the
 // other one close. New connections work.
