--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 root=$(cd ../.. && pwd) || exit 2
 [ -x "$root/target/beamdoor-node" ] || { echo "target/beamdoor-node is not built" >&2; exit 2; }
 [ -x "$root/review/bin/reviewkit" ] || bash "$root/review/build.sh" || exit 2
-exec "$root/review/bin/reviewkit" two-voters "$root" "$PWD"
+exec "$root/review/bin/reviewkit" foreign-reply "$root" "$PWD"
