--- a/review/kit/http.go
+++ b/review/kit/http.go
@@ -58,6 +58,9 @@
 	{name: "r-certificate", hostname: "198.18.0.2", port: 8443, kind: "download", service: documentos, timeoutMs: 8000},
 }
 
+// maxConns is the number of flows that a target holds, as the configuration says.
+var maxConns = 2000
+
 // configuration returns the body of an operator's order.
 func configuration(version int, routes []route) []byte {
 	var list []map[string]any
@@ -69,7 +72,7 @@
 	}
 	var services []map[string]any
 	for _, name := range []string{agenda, documentos} {
-		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false})
+		services = append(services, map[string]any{"name": name, "healthPath": "/health", "maxConns": maxConns, "protocol": "h1", "tls": false})
 	}
 	body, _ := json.Marshal(map[string]any{
 		"version": version, "routes": list, "services": services,
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -30,6 +30,7 @@
 	"foreign-reply":   foreignReply,
 	"late-heartbeat":  lateHeartbeat,
 	"early-departure": earlyDeparture,
+	"full-target":     fullTarget,
 }
 
 func main() { os.Exit(run()) }
--- a/review/kit/target.go
+++ b/review/kit/target.go
@@ -37,6 +37,8 @@
 	flows    map[netip.AddrPort]*targetFlow
 	stopped  bool
 	silent   bool
+	// maxFlows is how many flows the target holds; 0 means any number.
+	maxFlows int
 	// onOpen is called for each SYN that the target takes.
 	onOpen func(p packet, from netip.AddrPort)
 }
@@ -227,6 +229,9 @@
 	}
 	flow, known := t.flows[p.src]
 	if p.has(flagSYN) {
+		if !known && t.maxFlows > 0 && len(t.flows) >= t.maxFlows {
+			return
+		}
 		if !known {
 			flow = &targetFlow{initial: rand.Uint32(), nextReceive: p.seq + 1}
 			flow.nextSend = flow.initial + 1
