Replies to an earlier run complete no request

Cause: a member forwards requests to the leader under a ticket, tickets counted from 0 in each run, and the reply carries only the ticket and the result. The leader's reply to a request that was forwarded before the kill completed the request that had the same ticket in the next run.

Evidence: a trial build that logs each forward and reply shows one forward at the leader (ticket 2, version 13) and its reply at the restarted member for an open request of ticket 2 that had not been sent. That rules out commands that the leader joins by mistake (two forwards) and a version that is lost after it was applied (event 1083 names 10 and 13 only).

Tickets now count from a random 63-bit number in each run, so a ticket identifies a request over all runs of all members. No message changes. A reply without an open request is ignored and logged as event 1085.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -53,6 +53,7 @@
 	VersionUnanswered    ID = 1082
 	VersionInForce       ID = 1083
 	RequestGivenUp       ID = 1084
+	ReplyUnmatched       ID = 1085
 	TargetStage          ID = 1090
 	TargetsSuspected     ID = 1091
 	TargetHeldLost       ID = 1092
@@ -194,6 +195,7 @@
 	{VersionUnanswered, "version_unanswered", "timed out waiting for the group to commit the configuration"},
 	{VersionInForce, "version_in_force", "configuration version in force"},
 	{RequestGivenUp, "request_given_up", "request of this member to the group timed out"},
+	{ReplyUnmatched, "reply_unmatched", "reply of the leader matches no open request and is ignored"},
 	{TargetStage, "target_stage", "lifecycle state of a target changed"},
 	{TargetsSuspected, "targets_suspected", "set of suspected targets, which missed recent heartbeats, changed"},
 	{TargetHeldLost, "target_held_lost", "target considered dead: callers wait for responses and no node has seen it alive"},
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,9 +20,14 @@
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
-// Ticket identifies a request to the core; its Outcome carries the same ticket.
+// Ticket identifies a request to the core; its Outcome carries the same ticket. Tickets are
+// unique over all runs of all members.
 type Ticket uint64
 
+// randomTicket returns a ticket to count from. Its highest bit is clear, so that tickets do
+// not wrap around and 0 stays unused.
+func randomTicket(random *rand.Rand) Ticket { return Ticket(random.Uint64() >> 1) }
+
 // ConnectionID identifies the connection of a subscribed node.
 type ConnectionID uint64
 
@@ -118,7 +124,9 @@
 	answered []Ticket
 	// commands maps each encoded command to its open request, so that retries of the same
 	// command at this and other members share one request.
-	commands   map[string]*request
+	commands map[string]*request
+	// lastTicket starts at a random number in each run. A member is reached under the same
+	// address in all its runs, so replies to requests of an earlier one may still arrive.
 	lastTicket Ticket
 	proposals  map[uint64]proposal
 	nodes      map[ConnectionID]*subscription
@@ -159,6 +167,7 @@
 		proposals:    map[uint64]proposal{},
 		nodes:        map[ConnectionID]*subscription{},
 		restored:     restored,
+		lastTicket:   randomTicket(settings.Raft.Random),
 	}
 	core.replica = replica.New(core, storage, settings.SnapshotEntries)
 	core.liveness.reset(now)
--- a/internal/registry/process.go
+++ b/internal/registry/process.go
@@ -332,7 +332,7 @@
 // logEvent logs an event. Events that occur per call or per node are sampled.
 func (p *Process) logEvent(event LogEvent) {
 	switch event.Event {
-	case eventlog.RequestGivenUp, eventlog.NodeSubscribed, eventlog.BadFrame:
+	case eventlog.RequestGivenUp, eventlog.ReplyUnmatched, eventlog.NodeSubscribed, eventlog.BadFrame:
 		event.Sampled = true
 	}
 	if event.Sampled {
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -140,11 +140,17 @@
 	return nil
 }
 
+// receiveForwardReply stores the leader's result of a forwarded request. Replies without an
+// open request answer a resent request, or one of an earlier run of this member.
 func (c *Core) receiveForwardReply(payload []byte) error {
 	message, err := decodeForwardReply(payload)
 	if err != nil {
 		return err
 	}
+	if _, open := c.requests[message.Ticket]; !open {
+		c.logEvent(eventlog.ReplyUnmatched, "ticket", message.Ticket, "code", message.Result.Code, "revision", message.Result.Revision)
+		return nil
+	}
 	c.recordResult(message.Ticket, message.Result)
 	return nil
 }
