A target that has come back does not stay lost

Not seen with processes.

Cause: above the limit for lost targets the leader kept its last list as it was, with targets that had sent heartbeats or answered since.

Now only targets of the last list that still seem lost stay on it; no further ones are marked, as before.

TestReturnedTargetIsNotLostWhileMostSeemLost fails before: two targets are on the list where one is expected, the other one has sent a heartbeat.

--- a/internal/registry/core_test.go
+++ b/internal/registry/core_test.go
@@ -422,6 +422,36 @@
 	assert.Empty(t, leader.core.liveness.verdicts.Lost)
 }
 
+// While most targets seem lost, no further ones are marked, but one that was marked before and
+// has come back must get its flows again: it may be the only one that serves.
+func TestReturnedTargetIsNotLostWhileMostSeemLost(t *testing.T) {
+	c := newCluster(t, 12, 3)
+	leader := c.waitForLeader()
+	var tokens []directory.Token
+	var silent []SilentTarget
+	for number := range 6 {
+		id := fmt.Sprint("i-", number)
+		require.NoError(t, c.submit(leader, putTarget(id, fmt.Sprintf("10.1.1.%d:1", number), directory.TargetReady)).Err)
+		target, _ := leader.core.State().Target(id)
+		tokens = append(tokens, target.Token)
+		silent = append(silent, SilentTarget{Token: target.Token, Weight: 9, Nodes: 1})
+	}
+	c.run(time.Second)
+	report := func(silent []SilentTarget) {
+		for range 15 {
+			c.reportEvidence(leader, 3, Evidence{Silent: silent})
+			c.run(100 * time.Millisecond)
+		}
+	}
+	report(silent[:2])
+	require.ElementsMatch(t, tokens[:2], leader.core.liveness.verdicts.Lost)
+	report(silent)
+	require.ElementsMatch(t, tokens[:2], leader.core.liveness.verdicts.Lost, "no further targets are marked")
+	leader.core.RecordHeartbeat(c.now, directory.Start{ID: "i-0"})
+	c.run(200 * time.Millisecond)
+	assert.Equal(t, tokens[1:2], leader.core.liveness.verdicts.Lost)
+}
+
 // Members added after bootstrap must find each other after a full restart, before any of
 // them knows the commit index.
 func TestReplacedMembersReconnectAfterFullRestart(t *testing.T) {
--- a/internal/registry/liveness.go
+++ b/internal/registry/liveness.go
@@ -115,7 +115,7 @@
 	slices.Sort(next.Lost)
 	limit := max(1, c.state.TargetCount()/verdictShareDivisor)
 	if len(next.Lost) > limit {
-		next.Lost = c.liveness.verdicts.Lost
+		next.Lost = stillListed(c.liveness.verdicts.Lost, next.Lost)
 	}
 	if len(next.Suspects) > limit {
 		next.Suspects = nil
@@ -125,6 +125,17 @@
 	c.sendVerdicts(now, next)
 }
 
+// stillListed returns the tokens that are in another, sorted list too.
+func stillListed(tokens, sorted []directory.Token) []directory.Token {
+	var kept []directory.Token
+	for _, token := range tokens {
+		if _, listed := slices.BinarySearch(sorted, token); listed {
+			kept = append(kept, token)
+		}
+	}
+	return kept
+}
+
 // isQueried reports whether members are asked about a target because valid reports name it
 // as silent, and records since when.
 func (c *Core) isQueried(now kernel.Instant, liveness *targetLiveness) bool {
