Verdicts of a replaced leader are ignored

Callers would see the open flows of a living target reset at the nodes of one member after a change of the leader (rule FLOW).

Cause: the leader's verdicts carried no term, and a member took whichever came last. Messages of two leaders come over two connections, so a member that was suspended may read those of the old leader after those of its successor, and marks a target as lost that has been heard from since.

Verdicts now carry the leader's term (8 bytes a message), and a member ignores those of a term below its own, as it does with response times and link usage. Leaders of the version before state no term and are believed as before.

--- a/internal/registry/liveness.go
+++ b/internal/registry/liveness.go
@@ -93,7 +93,7 @@
 	if now.Sub(c.liveness.since) < c.settings.LostAfter {
 		return
 	}
-	var next leaderVerdicts
+	next := leaderVerdicts{Term: c.replica.Node.Term()}
 	c.state.EachTarget(func(target *directory.Target) {
 		if target.State == directory.TargetEnded {
 			return
@@ -209,9 +209,17 @@
 		return err
 	}
 	if fromLeader {
-		c.liveness.verdicts = verdicts
+		if !c.isFromReplacedLeader(verdicts) {
+			c.liveness.verdicts = verdicts
+		}
 		return nil
 	}
 	c.recordObservations(now, observed)
 	return nil
 }
+
+// isFromReplacedLeader reports whether verdicts are those of a leader of an earlier term. They
+// may arrive late and name targets as lost that have been heard from since.
+func (c *Core) isFromReplacedLeader(verdicts leaderVerdicts) bool {
+	return c.replica.Node != nil && verdicts.Term > 0 && verdicts.Term < c.replica.Node.Term()
+}
--- a/internal/registry/messages.go
+++ b/internal/registry/messages.go
@@ -364,6 +364,8 @@
 	directory.Verdicts
 	// Queried are the targets whose answers members must report.
 	Queried []directory.Token
+	// Term is the leader's term, or 0 from an older leader, which states none.
+	Term uint64
 }
 
 func (v leaderVerdicts) frame() wire.Frame {
@@ -371,6 +373,7 @@
 	encoder.Bool(true)
 	v.Encode(&encoder)
 	directory.EncodeTokens(&encoder, v.Queried)
+	encoder.Uint64(v.Term)
 	return wire.Frame{Kind: wire.FrameLiveness, Payload: encoder.Buffer}
 }
 
@@ -381,6 +384,9 @@
 	if fromLeader {
 		verdicts = leaderVerdicts{Verdicts: directory.DecodeVerdicts(decoder)}
 		verdicts.Queried = directory.DecodeTokens(decoder)
+		if decoder.HasMore() {
+			verdicts.Term = decoder.Uint64()
+		}
 	} else {
 		observed = observations{From: decoder.String(), Heartbeats: directory.DecodeTokens(decoder)}
 		observed.Evidence = decodeEvidence(decoder)
