--- a/internal/steer/probe.go
+++ b/internal/steer/probe.go
@@ -12,9 +12,9 @@
 // The control members declare a target lost once two nodes report it silent. In a large fleet
 // a target gets requests so rarely that no second node finds it silent, and callers would
 // wait until their deadline: among 1,000 nodes and 10,000 targets one gets a request in nine
-// seconds. A node whose caller waits therefore probes the target itself by
-// opening a connection, and resets its own flows to it after two failures. Other nodes' flows
-// are not affected, since the target may be reachable from there.
+// seconds. A node whose caller waits therefore probes the target itself by opening a
+// connection, and resets its own flows to it after two failures. Other nodes' flows are not
+// affected, since the target may be reachable from there.
 //
 // A waiting caller is recognized by retransmissions, or by a quiet exchange on a route whose
 // responses are normally acknowledged: a target may have received the request before it died.
