Names of the state of probes tell refused openings from refused connections

Cause: reading the diff: "unopened" and two fields named refusedAt, one for opening packets and one for connections, need explaining.

Change: openingRefusedAt, connectionRefusedAt, callerWaitsAt, hasRefusedOpening and refusedOpeningProbeInterval in internal/steer/probe.go; no behaviour.

Result: the tests of the package pass.

--- a/internal/steer/probe.go
+++ b/internal/steer/probe.go
@@ -32,27 +32,27 @@
 	// probeLifetime is how long failed probes count, how long a probe stays wanted after a
 	// caller was found waiting, and how long a reachable target is not probed again.
 	probeLifetime = 2 * time.Second
-	// unopenedProbeInterval is how long a reachable target that recently did not accept an
-	// opening packet is not probed again.
-	unopenedProbeInterval = 500 * time.Millisecond
+	// refusedOpeningProbeInterval is how long a reachable target is not probed again if it did
+	// not accept a recent opening packet.
+	refusedOpeningProbeInterval = 500 * time.Millisecond
 	// maxProbes is the number of concurrent probes of a node, each of which needs a socket.
 	maxProbes = 8
 )
 
 // probeState holds the results of probes of a target.
 type probeState struct {
-	// wantedAt is when a probe was last requested; waitedAt is when one was last requested
-	// because a caller waits on an open flow, and unopenedAt because the target did not accept
-	// an opening packet. They are 0 if that never happened.
-	wantedAt, waitedAt, unopenedAt kernel.Instant
+	// wantedAt is when a probe was last requested; callerWaitsAt is when one was last requested
+	// because a caller waits on an open flow, and openingRefusedAt because the target did not
+	// accept an opening packet. They are 0 if that never happened.
+	wantedAt, callerWaitsAt, openingRefusedAt kernel.Instant
 	// inFlight is the number of probes without a result.
 	inFlight int
 	// failures is the number of consecutive failed probes, the first of which started at
 	// startedAt. endedAt is when the last probe with a result ended.
 	failures           int
 	startedAt, endedAt kernel.Instant
-	// refusedAt is when a probe was refused, or 0. Later probes replace it.
-	refusedAt kernel.Instant
+	// connectionRefusedAt is when a probe was refused, or 0. Later probes replace it.
+	connectionRefusedAt kernel.Instant
 }
 
 // ProbeOutcome is the result of a probe.
@@ -81,12 +81,12 @@
 
 // acceptsNone reports whether recent probes show that the target accepts no connections.
 func (s *probeState) acceptsNone(now kernel.Instant) bool {
-	return s.isUnreachable(now) || s.refusedAt > 0 && now.Sub(s.refusedAt) < probeLifetime
+	return s.isUnreachable(now) || s.connectionRefusedAt > 0 && now.Sub(s.connectionRefusedAt) < probeLifetime
 }
 
-// isUnopened reports whether the target recently did not accept an opening packet.
-func (s *probeState) isUnopened(now kernel.Instant) bool {
-	return s.unopenedAt > 0 && now.Sub(s.unopenedAt) < probeLifetime
+// hasRefusedOpening reports whether the target did not accept a recent opening packet.
+func (s *probeState) hasRefusedOpening(now kernel.Instant) bool {
+	return s.openingRefusedAt > 0 && now.Sub(s.openingRefusedAt) < probeLifetime
 }
 
 // attempts returns the number of probes that may begin now if they are requested. Because of
@@ -96,7 +96,7 @@
 	switch {
 	case s.inFlight > 0 || now.Sub(s.endedAt) < s.interval(now):
 		return 0
-	case s.isUnopened(now):
+	case s.hasRefusedOpening(now):
 		return max(1, probeFailuresNeeded-s.failures)
 	}
 	return 1
@@ -107,8 +107,8 @@
 	switch {
 	case s.failures > 0 || s.endedAt == 0:
 		return probeInterval
-	case s.isUnopened(now):
-		return unopenedProbeInterval
+	case s.hasRefusedOpening(now):
+		return refusedOpeningProbeInterval
 	}
 	return probeLifetime
 }
@@ -116,7 +116,7 @@
 // begin records the start of a probe.
 func (s *probeState) begin(now kernel.Instant) {
 	if s.inFlight == 0 {
-		s.refusedAt = 0
+		s.connectionRefusedAt = 0
 	}
 	s.inFlight++
 	if now.Sub(s.endedAt) >= probeLifetime {
@@ -152,14 +152,14 @@
 
 // requestProbeForOpening requests probes of a target that did not accept an opening packet.
 func (c *Core) requestProbeForOpening(now kernel.Instant, entry *targetEntry) {
-	entry.probes.unopenedAt = now
+	entry.probes.openingRefusedAt = now
 	c.requestProbe(now, entry)
 }
 
 // requestProbeForCaller requests probes of a target because a caller waits for an answer on
 // an open flow.
 func (c *Core) requestProbeForCaller(now kernel.Instant, entry *targetEntry) {
-	entry.probes.waitedAt = now
+	entry.probes.callerWaitsAt = now
 	c.requestProbe(now, entry)
 }
 
@@ -214,7 +214,7 @@
 	}
 	entry.probes.end(now, outcome)
 	unreachable := entry.probes.isUnreachable(now) && outcome == ProbeFailed && !entry.answeredSince(entry.probes.startedAt)
-	callerWaits := entry.probes.waitedAt > 0 && now.Sub(entry.probes.waitedAt) < probeLifetime
+	callerWaits := entry.probes.callerWaitsAt > 0 && now.Sub(entry.probes.callerWaitsAt) < probeLifetime
 	if !unreachable || !callerWaits || entry.target.State != directory.TargetReady || !c.mayActAlone(now) {
 		return nil
 	}
@@ -225,7 +225,7 @@
 // listens at the target's address. The outcome of the probe is ProbeReached.
 func (c *Core) HandleProbeRefusal(now kernel.Instant, token directory.Token) {
 	if entry, known := c.targets[token]; known {
-		entry.probes.refusedAt = now
+		entry.probes.connectionRefusedAt = now
 	}
 }
 
