A failed probe of long ago does not delay the next ones

Change: failures that no longer count are left out in one place, which the other uses share.

Result: TestExpiredFailureDoesNotDelayProbes fails before (one probe, two expected).

--- a/internal/steer/openingprobe_test.go
+++ b/internal/steer/openingprobe_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+// A probe that was lost long ago must not delay the evidence against a target that dies later.
+func TestExpiredFailureDoesNotDelayProbes(t *testing.T) {
+	f := newOpeningFixture(t)
+	for position := range f.probes {
+		f.core.HandleProbeOutcome(f.now, f.target.Token, []ProbeOutcome{ProbeReached, ProbeFailed}[position])
+	}
+	f.probes = nil
+	for f.now < start.Add(2*probeLifetime) {
+		f.tick()
+		for range f.probes {
+			f.core.HandleProbeOutcome(f.now, f.target.Token, ProbeUnknown)
+		}
+		f.probes = nil
+	}
+	for port := uint16(10); f.core.Decide(f.now, opening(port, 0)).Target.ID != f.target.ID; port++ {
+		require.Less(t, port, uint16(100), "the target is tried again")
+	}
+	f.tick()
+	assert.Len(t, f.probes, probeFailuresNeeded)
+}
+
 // A target that answers other callers needs no probe because of a lost opening packet.
 func TestAnsweringTargetIsNotProbedForOpening(t *testing.T) {
 	b := newBookingFixture(t)
--- a/internal/steer/probe.go
+++ b/internal/steer/probe.go
@@ -74,9 +74,17 @@
 // String returns the outcome as it appears in logs and metrics.
 func (o ProbeOutcome) String() string { return [...]string{"unknown", "reached", "failed"}[o] }
 
+// recentFailures returns the number of consecutive failed probes that still count.
+func (s *probeState) recentFailures(now kernel.Instant) int {
+	if now.Sub(s.endedAt) >= probeLifetime {
+		return 0
+	}
+	return s.failures
+}
+
 // isUnreachable reports whether enough recent probes have failed.
 func (s *probeState) isUnreachable(now kernel.Instant) bool {
-	return s.failures >= probeFailuresNeeded && now.Sub(s.endedAt) < probeLifetime
+	return s.recentFailures(now) >= probeFailuresNeeded
 }
 
 // acceptsNone reports whether recent probes show that the target accepts no connections.
@@ -97,7 +105,7 @@
 	case s.inFlight > 0 || now.Sub(s.endedAt) < s.interval(now):
 		return 0
 	case s.hasRefusedOpening(now):
-		return max(1, probeFailuresNeeded-s.failures)
+		return max(1, probeFailuresNeeded-s.recentFailures(now))
 	}
 	return 1
 }
@@ -119,9 +127,7 @@
 		s.connectionRefusedAt = 0
 	}
 	s.inFlight++
-	if now.Sub(s.endedAt) >= probeLifetime {
-		s.failures = 0
-	}
+	s.failures = s.recentFailures(now)
 	if s.failures == 0 {
 		s.startedAt = now
 	}
