--- a/internal/egress/fleet_test.go
+++ b/internal/egress/fleet_test.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// fleetResult is what was measured in a settled fleet.
+// fleetResult describes a settled fleet.
 type fleetResult struct {
 	// wait is the mean wait per byte in seconds.
 	wait float64
--- a/internal/lab/caller/caller.go
+++ b/internal/lab/caller/caller.go
@@ -1,5 +1,4 @@
-// Package caller makes load as the users' callers do, with an unmodified CoAP
-// client, and checks every answer: boards that stay open with notifications,
+// Package caller makes load with an unmodified CoAP client, and checks every answer: boards that stay open with notifications,
 // requests that may not be repeated, and downloads.
 package caller
 
--- a/internal/lab/drawn/drawn.go
+++ b/internal/lab/drawn/drawn.go
@@ -37,7 +37,7 @@
 // zoneSpan is the number of zones of a deployment.
 var zoneSpan = span{1, 6}
 
-// Of each round of seeds, so many are large and medium; the others are small.
+// Of each group of seeds, so many are large and medium; the others are small.
 const (
 	round        = 8
 	largeSeeds   = 1
--- a/internal/lab/fleetsim/world_test.go
+++ b/internal/lab/fleetsim/world_test.go
@@ -59,10 +59,8 @@
 	}
 }
 
-// Each rule can fail: with a mechanism switched off some seeds break it. Nodes
-// that go between two members need two of them on the wrong side of a cut: of three
-// or five members 4, 4 and 0 of 160 seeds saw it in three courses of the random
-// numbers, of nine 6 of 120.
+// Each rule can fail: with a mechanism switched off some seeds break it. Nodes that go between
+// two members need two of them on the wrong side of a cut, so that case plays nine members.
 func TestTheRulesSeeWhatIsWrong(t *testing.T) {
 	cases := map[string]struct {
 		switches Switches
--- a/internal/lab/flowrules/oracle.go
+++ b/internal/lab/flowrules/oracle.go
@@ -47,7 +47,7 @@
 	// still get new flows.
 	DrainBound = 3 * time.Second
 	// EvacuationBound is the same for the targets of a zone that is evacuated: a fifth
-	// of what the users allow. Real processes that share a machine get DrainBound.
+	// of what the rule allows. Real processes that share a machine get DrainBound.
 	EvacuationBound = time.Second
 	// EjectionBound is how long after its ejection a target may still get new flows as
 	// before: a fifth of what draining targets may, on machines that share processors.
--- a/internal/lab/sim/setup.go
+++ b/internal/lab/sim/setup.go
@@ -8,7 +8,7 @@
 	beamdoorv1 "github.com/beamdoor/beamdoor/api/beamdoor/v1"
 )
 
-// Setup is one of the users' set-ups.
+// Setup is a simulated deployment.
 type Setup struct {
 	Name        string
 	Priority    string
@@ -30,7 +30,7 @@
 
 func (s Setup) zone(number int) string { return fmt.Sprintf("%s-%d", s.Name, number%zoneCount+1) }
 
-// Setups are the set-ups of the two users.
+// Setups returns the simulated deployments.
 func Setups() []Setup {
 	patitas := Setup{
 		Name:             "patitas",
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -68,9 +68,8 @@
 	}
 }
 
-// TestMechanismsAreNeeded switches off one mechanism at a time and expects
-// that the rule which rests on it breaks: an oracle that cannot fail proves
-// nothing.
+// TestMechanismsAreNeeded switches off one mechanism at a time and expects that the rule which
+// rests on it breaks, which shows that the oracle can fail.
 func TestMechanismsAreNeeded(t *testing.T) {
 	tests := []struct {
 		mechanism, scenario, rule string
--- a/internal/registry/announcer.go
+++ b/internal/registry/announcer.go
@@ -223,7 +223,7 @@
 	})
 }
 
-// announce sends the announcement in rounds to the nodes of the previous run.
+// announce sends the announcement repeatedly to the nodes of the persisted roster.
 func (a *announcer) announce(announcement Announcement) {
 	socket, err := net.ListenUDP("udp4", nil)
 	if err != nil {
--- a/internal/registry/core.go
+++ b/internal/registry/core.go
@@ -21,7 +21,7 @@
 )
 
 // Ticket identifies a request to the core; its Outcome carries the same ticket. Tickets are
-// unique over all runs of all members.
+// unique over all members and their restarts.
 type Ticket uint64
 
 // randomTicket returns a ticket to count from. Its highest bit is clear, so that tickets do
@@ -125,8 +125,8 @@
 	// commands maps each encoded command to its open request, so that retries of the same
 	// command at this and other members share one request.
 	commands map[string]*request
-	// lastTicket starts at a random number in each run. A member is reached under the same
-	// address in all its runs, so replies to requests of an earlier one may still arrive.
+	// lastTicket starts at a random number. A restarted member has the address that it had
+	// before, so replies to requests that it sent before the restart may still arrive.
 	lastTicket Ticket
 	proposals  map[uint64]proposal
 	nodes      map[ConnectionID]*subscription
--- a/internal/registry/fulltarget_test.go
+++ b/internal/registry/fulltarget_test.go
@@ -12,9 +12,8 @@
 	"github.com/beamdoor/beamdoor/internal/kernel"
 )
 
-// A target that holds as many flows as it may leaves further opening packets unanswered. It
-// must not be marked as lost, which would reset its open flows, even if these are idle and its
-// heartbeats are late.
+// A full target leaves opening packets unanswered. It must not be marked as lost for that, even
+// if its open flows are idle and its heartbeats late.
 func TestFullTargetIsNotMarkedAsLost(t *testing.T) {
 	for _, heartbeatDelay := range []time.Duration{0, 2400 * time.Millisecond, 4 * time.Second} {
 		for _, callers := range []int{1, 4, 16} {
--- a/internal/registry/host.go
+++ b/internal/registry/host.go
@@ -60,8 +60,8 @@
 
 // logApplied logs each applied change of the replicated state. Entries of earlier terms are
 // mostly replayed and are sampled, so that logging does not delay a restarted member.
-// Changes of targets are sampled at followers, since the leader logs all of them: when a
-// fleet of 10,000 targets starts, each member would log 8,000 lines before the first call.
+// Changes of targets are sampled at followers, since the leader logs all of them: when a large
+// fleet starts, each member would log thousands of lines before it takes calls.
 func (c *Core) logApplied(command directory.Command, result directory.Result, before uint64, replayed bool) {
 	if c.state.Revision() == before {
 		return
--- a/internal/registry/liveness_test.go
+++ b/internal/registry/liveness_test.go
@@ -12,9 +12,8 @@
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
-// A verdict of a leader that has been replaced may arrive after those of its successor, for
-// example at a member that was suspended. It must not mark a target as lost that has been
-// heard from since, because nodes would reset its flows.
+// A verdict of a replaced leader may arrive after those of its successor. It must not mark a
+// target as lost that has been heard from since.
 func TestVerdictOfReplacedLeaderIsIgnored(t *testing.T) {
 	c := newCluster(t, 13, 3)
 	leader := c.waitForLeader()
--- a/internal/registry/nodes.go
+++ b/internal/registry/nodes.go
@@ -166,7 +166,7 @@
 // sendKeepalive sends a keepalive if one is due, if this member became current or ceased to
 // be, or if a verdict other than a suspicion changed. Unchanged verdicts are omitted,
 // because their list can be long after the loss of a zone and would otherwise be sent with
-// every keepalive: 24 kB for 6,000 targets, 60 kB a second for each node.
+// every keepalive, far more than a node may receive for control.
 func (c *Core) sendKeepalive(now kernel.Instant, connection ConnectionID) {
 	node := c.nodes[connection]
 	current := c.IsCurrent(now)
--- a/internal/registry/requests.go
+++ b/internal/registry/requests.go
@@ -141,7 +141,7 @@
 }
 
 // receiveForwardReply stores the leader's result of a forwarded request. Replies without an
-// open request answer a resent request, or one of an earlier run of this member.
+// open request answer a resent request, or one that was sent before a restart of this member.
 func (c *Core) receiveForwardReply(payload []byte) error {
 	message, err := decodeForwardReply(payload)
 	if err != nil {
--- a/internal/registry/requests_test.go
+++ b/internal/registry/requests_test.go
@@ -63,8 +63,8 @@
 	return nil
 }
 
-// A reply to a request of a member's earlier run must not complete a request of the current
-// one, which the leader may never have received.
+// A reply to a request that was sent before a restart of the member must not complete a request
+// sent after it, which the leader may never have received.
 func TestReplyToEarlierRunCompletesNoRequest(t *testing.T) {
 	earlier := []requestKind{
 		publishing("publish", 13),
--- a/internal/steer/core.go
+++ b/internal/steer/core.go
@@ -341,8 +341,8 @@
 }
 
 // recordEnded stores an ended target and drops the oldest ones above the limit, as control
-// members do. Flows of dropped targets expire when idle: with 200,000 flows and 100 ends of
-// targets a second, a scan of all flows at each end would take a fifth of a core.
+// members do. Flows of dropped targets expire when idle: a scan of all flows at each end of a
+// target would cost too much on a node with many flows in a fleet where targets end often.
 func (c *Core) recordEnded(entry *targetEntry) {
 	c.ended = append(c.ended, entry)
 	for len(c.ended) > directory.EndedLimit(len(c.targets)-len(c.ended)) {
--- a/internal/steer/ejection.go
+++ b/internal/steer/ejection.go
@@ -10,7 +10,7 @@
 const (
 	// probationShare is the share of the flows otherwise due to it that a target on
 	// probation gets: enough to see soon whether it has recovered, with few callers at risk.
-	// Of a dozen flows a second over all nodes three are trials, which show it in a second.
+	// Where all nodes together place a dozen flows a second, it gets three of them.
 	probationShare = 0.25
 	// probationInterval is the least time between two flows that this node places on a
 	// target on probation, which often looks idle and would then be preferred.
