--- a/review/kit-2/evacuation.go
+++ b/review/kit-2/evacuation.go
@@ -23,7 +23,7 @@
 	// watchTime is how long opening packets are counted in each round.
 	watchTime = 3 * time.Second
 	// rounds is how often the same is done, unless the rule was broken before.
-	rounds = 4
+	rounds = 5
 	// targetsPerZone is the number of targets of each zone.
 	targetsPerZone = 6
 	evacuatedZone  = "norte"
