Orders are confirmed by their caller: a delayed one undoes no later order

What callers saw: an operator ended the evacuation of a zone at a core machine that was suspended, gave up after a second and had the order acknowledged elsewhere, and evacuated the zone again, acknowledged as well.

Cause: an order that waits in a socket buffer or on the network looks new to the member that reads it, and the revision that it was compared with was taken when it was handled, after the log had caught up.

An order sent late on a connection that stays open undoes the later one without any suspended machine.

Change: a member answers an order with the log position that it has applied (307, or a field of the member protocol) and submits it only once the caller repeats it with that position. The replicated state keeps the position of the last order about each zone, target and version, also of orders that changed nothing, and rejects an order that was confirmed before it. This is decided from the entry alone when it is applied, so the sequence in which the order is read, handled, forwarded and applied does not matter. A busy member delays an order once, not again when it is confirmed.

--- a/internal/directory/command.go
+++ b/internal/directory/command.go
@@ -41,6 +41,9 @@
 	TargetOrder TargetOrder
 
 	VersionOrder VersionOrder
+
+	// Confirmation is that of an operator's order.
+	Confirmation Confirmation
 }
 
 // EncodeCommand encodes a command for the log.
@@ -57,10 +60,13 @@
 		encodeMember(&encoder, command.Member)
 	case CommandEvacuate:
 		encodeEvacuation(&encoder, command.Evacuation)
+		encodeConfirmation(&encoder, command.Confirmation)
 	case CommandOrderTarget:
 		encodeTargetOrder(&encoder, command.TargetOrder)
+		encodeConfirmation(&encoder, command.Confirmation)
 	case CommandOrderVersion:
 		encodeVersionOrder(&encoder, command.VersionOrder)
+		encodeConfirmation(&encoder, command.Confirmation)
 	}
 	return encoder.Buffer
 }
@@ -80,10 +86,13 @@
 		command.Member = decodeMember(decoder)
 	case CommandEvacuate:
 		command.Evacuation = decodeEvacuation(decoder)
+		command.Confirmation = decodeConfirmation(decoder)
 	case CommandOrderTarget:
 		command.TargetOrder = decodeTargetOrder(decoder)
+		command.Confirmation = decodeConfirmation(decoder)
 	case CommandOrderVersion:
 		command.VersionOrder = decodeVersionOrder(decoder)
+		command.Confirmation = decodeConfirmation(decoder)
 	default:
 		return Command{}, steperror.New(step, "", "unknown command kind")
 	}
--- a/internal/directory/evacuation.go
+++ b/internal/directory/evacuation.go
@@ -57,14 +57,14 @@
 }
 
 // evacuate applies an order. An order that matches the current state has no effect. Any
-// other is rejected if it is based on another revision, since a delayed duplicate would
-// undo a later order.
-func (s *State) evacuate(position uint64, order Evacuation) Code {
+// other is rejected if it is superseded or based on another revision, since a delayed order
+// would undo a later one.
+func (s *State) evacuate(position uint64, order Evacuation, superseded bool) Code {
 	known := s.evacuations[order.Zone]
 	if known.Active == order.Active {
 		return CodeDone
 	}
-	if known.Revision != order.Revision {
+	if superseded || known.Revision != order.Revision {
 		return CodeConflict
 	}
 	order.Revision = position
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -61,6 +61,8 @@
 	targetOrders map[string]TargetOrder
 	// versionOrders holds the last order for each version with live targets.
 	versionOrders map[ServiceVersion]VersionOrder
+	// orders holds when the last order about each zone, target and version was applied.
+	orders orderHistory
 }
 
 // New returns an empty state.
@@ -77,6 +79,8 @@
 		targetOrders: map[string]TargetOrder{},
 
 		versionOrders: map[ServiceVersion]VersionOrder{},
+
+		orders: newOrderHistory(),
 	}
 }
 
@@ -169,12 +173,8 @@
 		s.addMember(position, command.Member)
 	case CommandRemoveMember:
 		s.removeMember(position, command.Member.ID)
-	case CommandEvacuate:
-		result.Code = s.evacuate(position, command.Evacuation)
-	case CommandOrderTarget:
-		result.Code = s.orderTarget(position, command.TargetOrder)
-	case CommandOrderVersion:
-		result.Code = s.orderVersion(position, command.VersionOrder)
+	case CommandEvacuate, CommandOrderTarget, CommandOrderVersion:
+		result.Code = s.applyOrder(position, command)
 	}
 	return result
 }
@@ -366,7 +366,12 @@
 	}
 	encodeEvacuations(&encoder, s.Evacuations())
 	encodeTargetOrders(&encoder, s.TargetOrders())
-	s.encodeVersions(&encoder)
+	// Snapshots without orders keep the format of releases without an order history.
+	hasOrders := len(s.orders.positions) > 0
+	s.encodeVersions(&encoder, hasOrders)
+	if hasOrders {
+		s.orders.encode(&encoder)
+	}
 	return encoder.Buffer
 }
 
@@ -419,6 +424,9 @@
 		}
 	}
 	s.decodeVersions(decoder, targets)
+	if decoder.HasMore() {
+		s.orders = decodeOrderHistory(decoder)
+	}
 	return s, steperror.Wrap("directory.decode", "", decoder.Err("directory.decode"))
 }
 
--- a/internal/directory/targetorder.go
+++ b/internal/directory/targetorder.go
@@ -55,8 +55,8 @@
 
 // orderTarget applies an order. An order that matches the current rule has no effect,
 // except that RuleJudged based on the current revision is recorded again. Any other order
-// is rejected if it is based on another revision.
-func (s *State) orderTarget(position uint64, order TargetOrder) Code {
+// is rejected if it is superseded or based on another revision.
+func (s *State) orderTarget(position uint64, order TargetOrder, superseded bool) Code {
 	target, exists := s.targets[order.ID]
 	if !exists || target.State == TargetEnded || order.Rule >= targetRuleCount {
 		return CodeNotFound
@@ -65,7 +65,7 @@
 	if known.Rule == order.Rule && (order.Rule != RuleJudged || known.Revision > order.Revision) {
 		return CodeDone
 	}
-	if known.Revision != order.Revision {
+	if superseded || known.Revision != order.Revision {
 		return CodeConflict
 	}
 	order.Revision = position
--- a/internal/directory/versionorder.go
+++ b/internal/directory/versionorder.go
@@ -65,8 +65,8 @@
 }
 
 // orderVersion applies an order. An order that matches the current rule has no effect; any
-// other is rejected if it is based on another revision.
-func (s *State) orderVersion(position uint64, order VersionOrder) Code {
+// other is rejected if it is superseded or based on another revision.
+func (s *State) orderVersion(position uint64, order VersionOrder, superseded bool) Code {
 	if !s.hasVersion(order.ServiceVersion) || order.Rule >= versionRuleCount {
 		return CodeNotFound
 	}
@@ -74,7 +74,7 @@
 	if known.Rule == order.Rule {
 		return CodeDone
 	}
-	if known.Revision != order.Revision {
+	if superseded || known.Revision != order.Revision {
 		return CodeConflict
 	}
 	order.Revision = position
@@ -120,15 +120,15 @@
 
 // encodeVersions appends the versions of the targets, in the order of the target list,
 // and the version orders to a snapshot. They come last since earlier releases do not read
-// them, and are omitted if no target has a version.
-func (s *State) encodeVersions(encoder *wire.Encoder) {
+// them, and are omitted if no target has a version and nothing follows them.
+func (s *State) encodeVersions(encoder *wire.Encoder, followed bool) {
 	targets := s.Targets()
 	table := &nameTable{numbers: map[string]uint32{}}
 	table.add("")
 	for _, target := range targets {
 		table.add(target.Version)
 	}
-	if len(table.names) == 1 {
+	if len(table.names) == 1 && !followed {
 		return
 	}
 	EncodeNames(encoder, table.names)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -83,6 +83,7 @@
 	MemberConnectionsFull ID = 1124
 	ZoneShortOfRoom       ID = 1125
 	ZonesHaveRoom         ID = 1126
+	OrderUnconfirmed      ID = 1127
 	SpeedsDiffer          ID = 1130
 	SpeedsAlike           ID = 1131
 
@@ -223,6 +224,7 @@
 	{MemberConnectionsFull, "member_connections_full", "HTTP connections to the member refused: connection limit reached"},
 	{ZoneShortOfRoom, "zone_short_of_room", "most nodes of a zone refuse new flows for lack of capacity"},
 	{ZonesHaveRoom, "zones_have_room", "no zone has most of its nodes refusing new flows any longer"},
+	{OrderUnconfirmed, "order_unconfirmed", "operator's order not submitted: its caller is asked to confirm it"},
 	{SpeedsDiffer, "speeds_differ", "targets of a service differ in service time for equal work"},
 	{SpeedsAlike, "speeds_alike", "targets of a service have similar service times again"},
 	{VersionHeld, "version_held", "version held: its targets get no new flows except trial flows"},
--- a/internal/hosting/throttle.go
+++ b/internal/hosting/throttle.go
@@ -28,13 +28,23 @@
 	return func(s *serving) { s.pace.isBusy = isBusy }
 }
 
+// WithoutThrottleFor exempts requests from the delay by WithThrottle, such as the second part of
+// an exchange whose first part was delayed already.
+func WithoutThrottleFor(isExempt func(request *http.Request) bool) ServeOption {
+	return func(s *serving) { s.pace.isExempt = isExempt }
+}
+
 // WithConnectionLimit applies a connection limit to the server.
 func WithConnectionLimit(connections *ConnectionLimiter) ServeOption {
 	return func(s *serving) { s.connections = connections }
 }
 
 // throttle delays clients while the process is busy. The zero value delays none.
-type throttle struct{ isBusy func() bool }
+type throttle struct {
+	isBusy func() bool
+	// isExempt selects requests that are not delayed; nil selects none.
+	isExempt func(request *http.Request) bool
+}
 
 // handler returns a handler that delays requests by up to maxBusyWait.
 func (p *throttle) handler(inner http.Handler) http.Handler {
@@ -42,14 +52,21 @@
 		return inner
 	}
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		end := time.Now().Add(maxBusyWait)
-		for p.isBusy() && time.Now().Before(end) {
-			time.Sleep(busyPollInterval)
+		if p.isExempt == nil || !p.isExempt(request) {
+			p.wait()
 		}
 		inner.ServeHTTP(writer, request)
 	})
 }
 
+// wait returns once the process is not busy, or after maxBusyWait.
+func (p *throttle) wait() {
+	end := time.Now().Add(maxBusyWait)
+	for p.isBusy() && time.Now().Before(end) {
+		time.Sleep(busyPollInterval)
+	}
+}
+
 // listener returns a listener that delays accepting connections.
 func (p *throttle) listener(inner net.Listener) net.Listener {
 	if p.isBusy == nil {
--- a/internal/lab/fleetsim/member.go
+++ b/internal/lab/fleetsim/member.go
@@ -192,6 +192,13 @@
 	m.await(ticket, output, answer)
 }
 
+// submitOrder hands an operator's order to the core, confirmed at once, and calls back with the
+// outcome.
+func (m *member) submitOrder(command directory.Command, answer func(registry.Outcome)) {
+	ticket, output := m.core.SubmitOrder(m.world.now, command, m.core.AppliedPosition())
+	m.await(ticket, output, answer)
+}
+
 // await carries out what the core wants done for a request and calls back with its
 // outcome.
 func (m *member) await(ticket registry.Ticket, output registry.Output, answer func(registry.Outcome)) {
--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -105,29 +106,32 @@
 var errAddressTaken = steperror.New("registry.beat", "", "the address belongs to a target with a recent heartbeat")
 
 // Evacuate starts or ends the evacuation of a zone and returns once a quorum has persisted
-// the order. It fails if another order about the zone is applied first.
-func (p *Process) Evacuate(ctx context.Context, zone string, active bool) error {
-	unknown := false
-	result, err := p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
-		if unknown = !p.hasZone(core, zone); unknown {
-			return 0, Output{}
+// the order. It fails if another order about the zone was applied since the caller confirmed
+// this one with a log position. Position 0 returns a
+// directory.UnconfirmedOrderError.
+func (p *Process) Evacuate(ctx context.Context, zone string, active bool, position uint64) error {
+	fields := []any{"zone", zone, "active", active}
+	result, err := p.submitOrder(ctx, position, fields, func(core *Core) (directory.Command, error) {
+		if !p.hasZone(core, zone) {
+			return directory.Command{}, &directory.Problem{Field: "zone", Reason: fmt.Sprintf("%q is not known", zone)}
 		}
-		return core.Submit(now, directory.Command{Kind: directory.CommandEvacuate, Evacuation: core.PrepareEvacuation(zone, active)})
+		return directory.Command{Kind: directory.CommandEvacuate, Evacuation: core.PrepareEvacuation(zone, active)}, nil
 	})
+	var problem *directory.Problem
 	switch {
-	case err != nil:
-		p.logger.Event(eventlog.EvacuationUnanswered, "zone", zone, "active", active, "err", err)
+	case isUnconfirmed(err):
 		return err
-	case unknown:
-		problem := &directory.Problem{Field: "zone", Reason: fmt.Sprintf("%q is not known", zone)}
-		p.logger.Event(eventlog.EvacuationRefused, "zone", zone, "active", active, "reason", problem)
-		return problem
-	case result.Code != directory.CodeDone:
+	case errors.As(err, &problem):
+		p.logger.Event(eventlog.EvacuationRefused, append(fields, "reason", problem)...)
+		return err
+	case err == nil && result.Code != directory.CodeDone:
 		err = steperror.New("registry.evacuate", p.settings.Name, "another order about the zone was applied first")
-		p.logger.Event(eventlog.EvacuationUnanswered, "zone", zone, "active", active, "err", err)
+	}
+	if err != nil {
+		p.logger.Event(eventlog.EvacuationUnanswered, append(fields, "err", err)...)
 		return err
 	}
-	p.logger.Event(eventlog.EvacuationAccepted, "zone", zone, "active", active, "revision", result.Revision)
+	p.logger.Event(eventlog.EvacuationAccepted, append(fields, "revision", result.Revision)...)
 	return nil
 }
 
--- a/internal/registry/host.go
+++ b/internal/registry/host.go
@@ -81,9 +81,9 @@
 		c.logEvent(eventlog.TargetStage, "target", target.ID, "born", target.StartTime, "token", target.Token, "service", target.Service,
 			"address", target.Address, "state", target.State, "revision", result.Revision)
 	case directory.CommandEvacuate:
-		c.logEvent(eventlog.EvacuationInForce, "zone", command.Evacuation.Zone, "active", command.Evacuation.Active, "revision", result.Revision)
+		c.logEvent(eventlog.EvacuationInForce, "zone", command.Evacuation.Zone, "active", command.Evacuation.Active, "confirmed", command.Confirmation.Position, "revision", result.Revision)
 	case directory.CommandOrderTarget:
-		c.logEvent(eventlog.TargetOrderInForce, "target", command.TargetOrder.ID, "rule", command.TargetOrder.Rule, "revision", result.Revision)
+		c.logEvent(eventlog.TargetOrderInForce, "target", command.TargetOrder.ID, "rule", command.TargetOrder.Rule, "confirmed", command.Confirmation.Position, "revision", result.Revision)
 	case directory.CommandAddMember, directory.CommandRemoveMember:
 		c.logEvent(eventlog.MembersChanged, "kind", command.Kind, "member", command.Member.ID,
 			"address", command.Member.Address, "revision", result.Revision)
--- a/internal/registry/operator.go
+++ b/internal/registry/operator.go
@@ -72,6 +72,9 @@
 	Target string
 	// Version identifies a version of a service.
 	Version directory.ServiceVersion
+	// Position is the log position with which the caller confirms an order. It is 0 in the
+	// first request; see OperatorResponse.Confirm.
+	Position uint64
 }
 
 func (o OperatorRequest) frame() wire.Frame {
@@ -79,10 +82,13 @@
 	encoder.Uint8(uint8(o.Action))
 	encoder.String(o.Zone)
 	encoder.String(o.Target)
-	if o.Version.Version != "" {
+	if o.Version.Version != "" || o.Position > 0 {
 		encoder.String(o.Version.Service)
 		encoder.String(o.Version.Version)
 	}
+	if o.Position > 0 {
+		encoder.Uint64(o.Position)
+	}
 	return wire.Frame{Kind: wire.FrameOrder, Payload: encoder.Buffer}
 }
 
@@ -96,6 +102,9 @@
 	if decoder.HasMore() {
 		request.Version = directory.ServiceVersion{Service: decoder.String(), Version: decoder.String()}
 	}
+	if decoder.HasMore() {
+		request.Position = decoder.Uint64()
+	}
 	return request, decoder.Err("registry.decode_order")
 }
 
@@ -120,6 +129,9 @@
 	Targets []TargetStatus
 	// Versions are the versions of all services, sorted by service and version.
 	Versions []VersionStatus
+	// Confirm is the log position with which the caller must confirm the order, if it was not
+	// submitted for that reason. Clients without confirmations see Error.
+	Confirm uint64
 }
 
 func (r OperatorResponse) frame() wire.Frame {
@@ -135,9 +147,12 @@
 		encoder.Bool(status.Evacuated)
 	}
 	encodeTargetStatuses(&encoder, r.Targets)
-	if len(r.Versions) > 0 {
+	if len(r.Versions) > 0 || r.Confirm > 0 {
 		encodeVersionStatuses(&encoder, r.Versions)
 	}
+	if r.Confirm > 0 {
+		encoder.Uint64(r.Confirm)
+	}
 	return wire.Frame{Kind: wire.FrameOrderReply, Payload: encoder.Buffer}
 }
 
@@ -158,11 +173,14 @@
 	if decoder.HasMore() {
 		response.Versions = decodeVersionStatuses(decoder)
 	}
+	if decoder.HasMore() {
+		response.Confirm = decoder.Uint64()
+	}
 	return response, decoder.Err("registry.decode_order_reply")
 }
 
-// SendOperatorRequest sends a request to the first member that accepts a connection, and
-// returns its response.
+// SendOperatorRequest sends a request to the first member that accepts a connection, confirms
+// it if the member asks for that, and returns the response.
 func SendOperatorRequest(ctx context.Context, addresses []string, request OperatorRequest) (OperatorResponse, error) {
 	const step = "registry.send_order"
 	remaining := slices.Clone(addresses)
@@ -178,15 +196,26 @@
 		return OperatorResponse{}, err
 	}
 	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	response, err := exchangeOperatorRequest(connection, reader, request)
+	if err == nil && response.Confirm > 0 {
+		request.Position = response.Confirm
+		response, err = exchangeOperatorRequest(connection, reader, request)
+	}
+	return response, steperror.Wrap(step, address, err)
+}
+
+// exchangeOperatorRequest sends a request on a connection and waits for the response.
+func exchangeOperatorRequest(connection net.Conn, reader *bufio.Reader, request OperatorRequest) (OperatorResponse, error) {
 	if err := peerlink.Write(connection, wire.AppendFrame(nil, request.frame())); err != nil {
-		return OperatorResponse{}, steperror.Wrap(step, address, err)
+		return OperatorResponse{}, err
 	}
 	if err := connection.SetReadDeadline(time.Now().Add(operatorTimeout + time.Second)); err != nil {
-		return OperatorResponse{}, steperror.Wrap(step, address, err)
+		return OperatorResponse{}, err
 	}
-	frame, err := wire.ReadFrame(bufio.NewReader(connection))
+	frame, err := wire.ReadFrame(reader)
 	if err != nil {
-		return OperatorResponse{}, steperror.Wrap(step, address, err)
+		return OperatorResponse{}, err
 	}
 	return decodeOperatorResponse(frame.Payload)
 }
@@ -210,13 +239,13 @@
 	var err error
 	switch request.Action {
 	case ActionEvacuateZone:
-		err = p.Evacuate(ctx, request.Zone, true)
+		err = p.Evacuate(ctx, request.Zone, true, request.Position)
 	case ActionEndEvacuation:
-		err = p.Evacuate(ctx, request.Zone, false)
+		err = p.Evacuate(ctx, request.Zone, false, request.Position)
 	case ActionEjectTarget, ActionExemptTarget, ActionReadmitTarget:
-		err = p.SetTargetRule(ctx, request.Target, targetRuleOf[request.Action])
+		err = p.SetTargetRule(ctx, request.Target, targetRuleOf[request.Action], request.Position)
 	case ActionHoldVersion, ActionReleaseVersion, ActionJudgeVersion:
-		err = p.SetVersionRule(ctx, request.Version, versionRuleOf[request.Action])
+		err = p.SetVersionRule(ctx, request.Version, versionRuleOf[request.Action], request.Position)
 	}
 	var response OperatorResponse
 	if err == nil {
@@ -226,6 +255,11 @@
 		var problem *directory.Problem
 		response = OperatorResponse{Error: err.Error(), Rejected: errors.As(err, &problem)}
 	}
+	var unconfirmed *directory.UnconfirmedOrderError
+	if errors.As(err, &unconfirmed) {
+		response.Rejected = true
+		response.Confirm = unconfirmed.Position
+	}
 	return response
 }
 
--- a/internal/registry/operator_test.go
+++ b/internal/registry/operator_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/netip"
@@ -73,6 +74,57 @@
 	assert.Equal(t, `zone: "west" is not known`, rejected.Error)
 }
 
+// sendFrame sends one request without confirming it, and returns the response.
+func sendFrame(t *testing.T, address string, request OperatorRequest) OperatorResponse {
+	t.Helper()
+	connection, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	response, err := exchangeOperatorRequest(connection, bufio.NewReader(connection), request)
+	require.NoError(t, err)
+	return response
+}
+
+// A request over the member protocol that its caller has not confirmed, or that was confirmed
+// before a later one was acknowledged, must change nothing.
+func TestUnconfirmedOperatorRequestsChangeNothing(t *testing.T) {
+	process, address := startMember(t)
+	target := directory.Target{ID: "i-1", Service: "booking", Version: "v1", Zone: "north", Slots: 2, State: directory.TargetReady}
+	target.Address = netip.MustParseAddrPort("10.0.0.1:1")
+	require.Empty(t, sendRequest(t, address, OperatorRequest{}).Error)
+	_, err := process.HandleHeartbeat(context.Background(), Heartbeat{Target: target})
+	require.NoError(t, err)
+	version := target.ServiceVersion()
+	cases := []struct{ delayed, later OperatorRequest }{
+		{OperatorRequest{Action: ActionEvacuateZone, Zone: "north"}, OperatorRequest{Action: ActionEndEvacuation, Zone: "north"}},
+		{OperatorRequest{Action: ActionEjectTarget, Target: "i-1"}, OperatorRequest{Action: ActionReadmitTarget, Target: "i-1"}},
+		{OperatorRequest{Action: ActionHoldVersion, Version: version}, OperatorRequest{Action: ActionReleaseVersion, Version: version}},
+	}
+	status := func() OperatorResponse {
+		response := sendRequest(t, address, OperatorRequest{Target: "i-1"})
+		require.Len(t, response.Targets, 1)
+		response.Targets[0].Ejected = response.Targets[0].Rule == directory.RuleEjected
+		return response
+	}
+	for _, test := range cases {
+		before := status()
+		unconfirmed := sendFrame(t, address, test.delayed)
+		assert.Positive(t, unconfirmed.Confirm)
+		assert.True(t, unconfirmed.Rejected)
+		assert.Contains(t, unconfirmed.Error, "must be confirmed with log position")
+		assert.Equal(t, before, status(), "not confirmed")
+
+		require.Empty(t, sendRequest(t, address, test.later).Error)
+		test.delayed.Position = unconfirmed.Confirm
+		before = status()
+		assert.Contains(t, sendFrame(t, address, test.delayed).Error, "first")
+		assert.Equal(t, before, status(), "confirmed before the later request")
+		require.Empty(t, sendRequest(t, address, OperatorRequest{Action: test.delayed.Action, Zone: "north", Target: "i-1", Version: version}).Error)
+		assert.NotEqual(t, before, status(), "sent again")
+		require.Empty(t, sendRequest(t, address, test.later).Error)
+	}
+}
+
 func TestDryRunEvacuationPredictsLoad(t *testing.T) {
 	zones := []ZoneStatus{
 		{Zone: "a", Service: "one", Slots: 10}, {Zone: "b", Service: "one", Slots: 10}, {Zone: "c", Service: "one", Slots: 10, Evacuated: true},
@@ -91,6 +143,8 @@
 
 func FuzzDecodeOperatorRequest(f *testing.F) {
 	f.Add(OperatorRequest{Action: ActionEvacuateZone, Zone: "north"}.frame().Payload)
+	f.Add(OperatorRequest{Action: ActionEvacuateZone, Zone: "north", Position: 7}.frame().Payload)
+	f.Add(OperatorResponse{Error: "q", Confirm: 7}.frame().Payload)
 	f.Add(OperatorResponse{Error: "p", Zones: []ZoneStatus{{Zone: "a", Service: "b", Targets: 1, Slots: 2}}}.frame().Payload)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		if decoded, err := decodeOperatorRequest(data); err == nil {
--- a/internal/registry/streams.go
+++ b/internal/registry/streams.go
@@ -41,7 +41,7 @@
 		}
 		if frame.Kind == wire.FrameOrder {
 			p.serveOperatorRequest(connection, frame)
-			return
+			continue
 		}
 		if frame.Kind == wire.FrameEcho {
 			if err := peerlink.Echo(connection); err != nil {
--- a/internal/registry/targetrule.go
+++ b/internal/registry/targetrule.go
@@ -8,7 +8,6 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
-	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/steperror"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
@@ -56,14 +55,17 @@
 }
 
 // SetTargetRule sets whether a target is judged, ejected or exempt. It returns once a
-// quorum has the rule on disk. It fails if another rule for the target is committed first;
-// that rule then applies.
-func (p *Process) SetTargetRule(ctx context.Context, id string, rule directory.TargetRule) error {
-	result, err := p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
+// quorum has the rule on disk. It fails if another rule for the target was committed since the
+// caller confirmed this one with a log position; that rule then applies. Position 0 returns a
+// directory.UnconfirmedOrderError.
+func (p *Process) SetTargetRule(ctx context.Context, id string, rule directory.TargetRule, position uint64) error {
+	result, err := p.submitOrder(ctx, position, []any{"target", id, "rule", rule}, func(core *Core) (directory.Command, error) {
 		order := directory.TargetOrder{ID: id, Rule: rule, Revision: core.State().TargetOrder(id).Revision}
-		return core.Submit(now, directory.Command{Kind: directory.CommandOrderTarget, TargetOrder: order})
+		return directory.Command{Kind: directory.CommandOrderTarget, TargetOrder: order}, nil
 	})
 	switch {
+	case isUnconfirmed(err):
+		return err
 	case err != nil:
 	case result.Code == directory.CodeNotFound:
 		problem := &directory.Problem{Field: "target", Reason: fmt.Sprintf("%q is not known or has ended", id)}
--- a/internal/registry/versionrule.go
+++ b/internal/registry/versionrule.go
@@ -9,7 +9,6 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
-	"github.com/beamdoor/beamdoor/internal/kernel"
 	"github.com/beamdoor/beamdoor/internal/steperror"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
@@ -54,15 +53,19 @@
 }
 
 // SetVersionRule sets whether a version of a service is judged, held or released. It
-// returns once a quorum has the rule on disk. It fails if another rule for the version is
-// committed first; that rule then applies.
-func (p *Process) SetVersionRule(ctx context.Context, version directory.ServiceVersion, rule directory.VersionRule) error {
-	result, err := p.call(ctx, func(core *Core, now kernel.Instant) (Ticket, Output) {
+// returns once a quorum has the rule on disk. It fails if another rule for the version was
+// committed since the caller confirmed this one with a log position; that rule then applies.
+// Position 0 returns a
+// directory.UnconfirmedOrderError.
+func (p *Process) SetVersionRule(ctx context.Context, version directory.ServiceVersion, rule directory.VersionRule, position uint64) error {
+	fields := []any{"service", version.Service, "version", version.Version, "rule", rule}
+	result, err := p.submitOrder(ctx, position, fields, func(core *Core) (directory.Command, error) {
 		order := directory.VersionOrder{ServiceVersion: version, Rule: rule, Revision: core.State().VersionOrder(version).Revision}
-		return core.Submit(now, directory.Command{Kind: directory.CommandOrderVersion, VersionOrder: order})
+		return directory.Command{Kind: directory.CommandOrderVersion, VersionOrder: order}, nil
 	})
-	fields := []any{"service", version.Service, "version", version.Version, "rule", rule}
 	switch {
+	case isUnconfirmed(err):
+		return err
 	case err != nil:
 	case result.Code == directory.CodeNotFound:
 		problem := &directory.Problem{Field: "version", Reason: fmt.Sprintf("%q of service %q has no targets", version.Version, version.Service)}
