A member without state takes operators' orders in an election

By reading: the commit before answers an order with 503 at once while the member has applied nothing of its log, as after a restart of all members. An order sent then has to be sent again, where it used to be acknowledged after the election. The member now answers with the first log position, which holds no order; the order is rejected only if any order about its subject is known.

--- a/internal/lab/fleetsim/member.go
+++ b/internal/lab/fleetsim/member.go
@@ -195,7 +195,7 @@
 // submitOrder hands an operator's order to the core, confirmed at once, and calls back with the
 // outcome.
 func (m *member) submitOrder(command directory.Command, answer func(registry.Outcome)) {
-	ticket, output := m.core.SubmitOrder(m.world.now, command, m.core.AppliedPosition())
+	ticket, output := m.core.SubmitOrder(m.world.now, command, m.core.OrderPosition())
 	m.await(ticket, output, answer)
 }
 
--- a/internal/registry/orders.go
+++ b/internal/registry/orders.go
@@ -7,12 +7,14 @@
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
 	"github.com/beamdoor/beamdoor/internal/kernel"
-	"github.com/beamdoor/beamdoor/internal/steperror"
 )
 
-// AppliedPosition returns the log position up to which this member has applied the log, or 0 if
-// it has no state.
-func (c *Core) AppliedPosition() uint64 { return c.replica.Applied }
+// firstPosition is the first log position, which never holds an order.
+const firstPosition = 1
+
+// OrderPosition returns the log position for callers to confirm their orders with: the one up to
+// which this member has applied the log, or the first one if it has no state yet.
+func (c *Core) OrderPosition() uint64 { return max(firstPosition, c.replica.Applied) }
 
 // SubmitOrder submits an operator's order that its caller confirmed with a log position.
 func (c *Core) SubmitOrder(now kernel.Instant, command directory.Command, position uint64) (Ticket, Output) {
@@ -33,11 +35,9 @@
 			refusal = err
 		case position > 0:
 			return core.SubmitOrder(now, command, position)
-		case core.AppliedPosition() == 0:
-			refusal = steperror.New(step, p.settings.Name, "this member has no state yet")
 		default:
-			refusal = &directory.UnconfirmedOrderError{Step: step, Peer: p.settings.Name, Position: core.AppliedPosition()}
-			p.logger.Event(eventlog.OrderUnconfirmed, append(fields, "position", core.AppliedPosition())...)
+			refusal = &directory.UnconfirmedOrderError{Step: step, Peer: p.settings.Name, Position: core.OrderPosition()}
+			p.logger.Event(eventlog.OrderUnconfirmed, append(fields, "position", core.OrderPosition())...)
 		}
 		return 0, Output{}
 	})
