The departure of an unregistered target is recorded

What callers saw: a target whose only heartbeat was held up on the network sent its departure, which was acknowledged, and was registered by the heartbeat 2.5 s later.

Cause: the departure of an unknown ID, or of an unregistered later start of a known one, left no record by which the late heartbeat could be recognized.

Change: the departure is recorded as an ended target without an address. The record is bounded, replicated and forgotten like those of other ended targets.

--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -220,16 +220,17 @@
 	return CodeDone
 }
 
-// register adds a start of a target that is not known yet.
+// register adds a start of a target that is not known yet. An ended one holds no address.
 func (s *State) register(position uint64, target Target) {
 	target.Token = s.allocateToken(target.Start())
 	s.targets[target.ID] = &target
 	s.tokens[target.Token] = &target
-	s.addresses[target.Address] = &target
 	s.recordChange(position, &target)
 	if target.State == TargetEnded {
 		s.recordEnded(&target)
+		return
 	}
+	s.addresses[target.Address] = &target
 }
 
 // TargetByAddress returns the last target registered at an address.
@@ -293,19 +294,21 @@
 	}
 }
 
-// endTarget marks a target as ended if it was draining, and otherwise as leaving, since
-// it may still have flows. A start without a start time refers to the latest one.
+// endTarget marks a target as ended if it was draining or is not registered, and otherwise as
+// leaving, since it may still have flows. A start without a start time refers to the latest one.
 func (s *State) endTarget(position uint64, start Start) Code {
 	target, known := s.targets[start.ID]
 	switch {
 	case !known:
-		return CodeNotFound
+		// The target's registration may have been delayed and must not take effect later.
+		s.register(position, Target{ID: start.ID, StartTime: start.StartTime, State: TargetEnded})
 	case start.StartTime > 0 && start.IsBefore(target.Start()):
 		// A later start is registered, so this one has ended.
 		return CodeDone
 	case target.Start().IsBefore(start):
 		// The ending start was never registered, so the earlier one has ended.
 		s.advance(position, target, TargetEnded)
+		s.register(position, Target{ID: start.ID, StartTime: start.StartTime, State: TargetEnded})
 	case target.State == TargetDraining:
 		s.advance(position, target, TargetEnded)
 	default:
