One path for operators' orders about zones, targets and versions

The three functions repeated the submission, the refusal, the conflict and the log lines. They now state the order and its events; submitOrder does the rest.

--- a/internal/registry/api.go
+++ b/internal/registry/api.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -105,34 +104,18 @@
 // errAddressTaken rejects a heartbeat; a live target retries with its next heartbeat.
 var errAddressTaken = steperror.New("registry.beat", "", "the address belongs to a target with a recent heartbeat")
 
-// Evacuate starts or ends the evacuation of a zone and returns once a quorum has persisted
-// the order. It fails if another order about the zone was applied since the caller confirmed
-// this one with a log position. Position 0 returns a
-// directory.UnconfirmedOrderError.
+// Evacuate starts or ends the evacuation of a zone; see submitOrder for position.
 func (p *Process) Evacuate(ctx context.Context, zone string, active bool, position uint64) error {
-	fields := []any{"zone", zone, "active", active}
-	result, err := p.submitOrder(ctx, position, fields, func(core *Core) (directory.Command, error) {
-		if !p.hasZone(core, zone) {
-			return directory.Command{}, &directory.Problem{Field: "zone", Reason: fmt.Sprintf("%q is not known", zone)}
-		}
-		return directory.Command{Kind: directory.CommandEvacuate, Evacuation: core.PrepareEvacuation(zone, active)}, nil
+	return p.submitOrder(ctx, position, operatorOrder{
+		subject: "zone", fields: []any{"zone", zone, "active", active},
+		accepted: eventlog.EvacuationAccepted, refused: eventlog.EvacuationRefused, unanswered: eventlog.EvacuationUnanswered,
+		prepare: func(core *Core) (directory.Command, error) {
+			if !p.hasZone(core, zone) {
+				return directory.Command{}, &directory.Problem{Field: "zone", Reason: fmt.Sprintf("%q is not known", zone)}
+			}
+			return directory.Command{Kind: directory.CommandEvacuate, Evacuation: core.PrepareEvacuation(zone, active)}, nil
+		},
 	})
-	var problem *directory.Problem
-	switch {
-	case isUnconfirmed(err):
-		return err
-	case errors.As(err, &problem):
-		p.logger.Event(eventlog.EvacuationRefused, append(fields, "reason", problem)...)
-		return err
-	case err == nil && result.Code != directory.CodeDone:
-		err = steperror.New("registry.evacuate", p.settings.Name, "another order about the zone was applied first")
-	}
-	if err != nil {
-		p.logger.Event(eventlog.EvacuationUnanswered, append(fields, "err", err)...)
-		return err
-	}
-	p.logger.Event(eventlog.EvacuationAccepted, append(fields, "revision", result.Revision)...)
-	return nil
 }
 
 // hasZone reports whether a zone is in the settings or has a target or a member.
--- a/internal/registry/targetrule.go
+++ b/internal/registry/targetrule.go
@@ -8,7 +8,6 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
-	"github.com/beamdoor/beamdoor/internal/steperror"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
@@ -54,32 +53,17 @@
 	return targets
 }
 
-// SetTargetRule sets whether a target is judged, ejected or exempt. It returns once a
-// quorum has the rule on disk. It fails if another rule for the target was committed since the
-// caller confirmed this one with a log position; that rule then applies. Position 0 returns a
-// directory.UnconfirmedOrderError.
+// SetTargetRule sets whether a target is judged, ejected or exempt; see submitOrder for position.
 func (p *Process) SetTargetRule(ctx context.Context, id string, rule directory.TargetRule, position uint64) error {
-	result, err := p.submitOrder(ctx, position, []any{"target", id, "rule", rule}, func(core *Core) (directory.Command, error) {
-		order := directory.TargetOrder{ID: id, Rule: rule, Revision: core.State().TargetOrder(id).Revision}
-		return directory.Command{Kind: directory.CommandOrderTarget, TargetOrder: order}, nil
+	return p.submitOrder(ctx, position, operatorOrder{
+		subject: "target", fields: []any{"target", id, "rule", rule},
+		accepted: eventlog.TargetOrderAccepted, refused: eventlog.TargetOrderRefused, unanswered: eventlog.TargetOrderUnanswered,
+		prepare: func(core *Core) (directory.Command, error) {
+			order := directory.TargetOrder{ID: id, Rule: rule, Revision: core.State().TargetOrder(id).Revision}
+			return directory.Command{Kind: directory.CommandOrderTarget, TargetOrder: order}, nil
+		},
+		unknown: &directory.Problem{Field: "target", Reason: fmt.Sprintf("%q is not known or has ended", id)},
 	})
-	switch {
-	case isUnconfirmed(err):
-		return err
-	case err != nil:
-	case result.Code == directory.CodeNotFound:
-		problem := &directory.Problem{Field: "target", Reason: fmt.Sprintf("%q is not known or has ended", id)}
-		p.logger.Event(eventlog.TargetOrderRefused, "target", id, "rule", rule, "reason", problem)
-		return problem
-	case result.Code != directory.CodeDone:
-		err = steperror.New("registry.order_target", p.settings.Name, "another rule for the target was committed first")
-	}
-	if err != nil {
-		p.logger.Event(eventlog.TargetOrderUnanswered, "target", id, "rule", rule, "err", err)
-		return err
-	}
-	p.logger.Event(eventlog.TargetOrderAccepted, "target", id, "rule", rule, "revision", result.Revision)
-	return nil
 }
 
 // targetStatuses returns the ready targets that are not in the default state, and the one
--- a/internal/registry/versionrule.go
+++ b/internal/registry/versionrule.go
@@ -9,7 +9,6 @@
 
 	"github.com/beamdoor/beamdoor/internal/directory"
 	"github.com/beamdoor/beamdoor/internal/eventlog"
-	"github.com/beamdoor/beamdoor/internal/steperror"
 	"github.com/beamdoor/beamdoor/internal/wire"
 )
 
@@ -52,34 +51,18 @@
 	return versions
 }
 
-// SetVersionRule sets whether a version of a service is judged, held or released. It
-// returns once a quorum has the rule on disk. It fails if another rule for the version was
-// committed since the caller confirmed this one with a log position; that rule then applies.
-// Position 0 returns a
-// directory.UnconfirmedOrderError.
+// SetVersionRule sets whether a version of a service is judged, held or released; see submitOrder
+// for position.
 func (p *Process) SetVersionRule(ctx context.Context, version directory.ServiceVersion, rule directory.VersionRule, position uint64) error {
-	fields := []any{"service", version.Service, "version", version.Version, "rule", rule}
-	result, err := p.submitOrder(ctx, position, fields, func(core *Core) (directory.Command, error) {
-		order := directory.VersionOrder{ServiceVersion: version, Rule: rule, Revision: core.State().VersionOrder(version).Revision}
-		return directory.Command{Kind: directory.CommandOrderVersion, VersionOrder: order}, nil
+	return p.submitOrder(ctx, position, operatorOrder{
+		subject: "version", fields: []any{"service", version.Service, "version", version.Version, "rule", rule},
+		accepted: eventlog.VersionOrderAccepted, refused: eventlog.VersionOrderRefused, unanswered: eventlog.VersionOrderRefused,
+		prepare: func(core *Core) (directory.Command, error) {
+			order := directory.VersionOrder{ServiceVersion: version, Rule: rule, Revision: core.State().VersionOrder(version).Revision}
+			return directory.Command{Kind: directory.CommandOrderVersion, VersionOrder: order}, nil
+		},
+		unknown: &directory.Problem{Field: "version", Reason: fmt.Sprintf("%q of service %q has no targets", version.Version, version.Service)},
 	})
-	switch {
-	case isUnconfirmed(err):
-		return err
-	case err != nil:
-	case result.Code == directory.CodeNotFound:
-		problem := &directory.Problem{Field: "version", Reason: fmt.Sprintf("%q of service %q has no targets", version.Version, version.Service)}
-		p.logger.Event(eventlog.VersionOrderRefused, append(fields, "reason", problem)...)
-		return problem
-	case result.Code != directory.CodeDone:
-		err = steperror.New("registry.order_version", p.settings.Name, "another rule for the version was committed first")
-	}
-	if err != nil {
-		p.logger.Event(eventlog.VersionOrderRefused, append(fields, "err", err)...)
-		return err
-	}
-	p.logger.Event(eventlog.VersionOrderAccepted, append(fields, "revision", result.Revision)...)
-	return nil
 }
 
 // versionStatuses returns the versions of all services, sorted by service and version.
